Forward requests on the users' platform

Adds `monsoondale gateway`: routes, keys, quotas, repeat budgets, a pool for each service with digests between instances, mirrors of the store's collections, and the adapter in platform/.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -33,6 +33,7 @@
 
 type cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run an instance."`
+	Gateway  gatewayCmd  `cmd:"" help:"Run an instance on the users' platform."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 	Apply    applyCmd    `cmd:"" help:"Create or replace templates and workspaces."`
 	Get      getCmd      `cmd:"" help:"Print a template or workspace, or list them."`
--- /dev/null
+++ b/core/mirror/mirror.go
@@ -0,0 +1,143 @@
+// Package mirror keeps a copy of a collection of objects that changes in the platform's store or reaches this instance
+// through another one. Its revision never goes down, so that an old list cannot undo a newer one.
+package mirror
+
+import (
+	"sort"
+	"time"
+
+	"monsoondale/core"
+)
+
+// Item is one object of a collection. Body is its content in the store's encoding.
+type Item struct {
+	Name     string
+	Revision core.Revision // of the object's last change
+	Body     []byte
+	// Gone marks an object that was removed.
+	Gone bool
+}
+
+// Options configures a Mirror.
+type Options struct {
+	// Grace is how long an object is kept that is missing after the store was away; it may be written again. 0 removes
+	// it at once.
+	Grace time.Duration
+}
+
+type entry struct {
+	Item
+	missing time.Time // since when it has been missing; zero if it is listed
+}
+
+// Mirror is a copy of a collection. It is not safe for concurrent use.
+type Mirror struct {
+	o       Options
+	items   map[string]*entry
+	rev     core.Revision // up to which all changes are known
+	changed core.Revision // of the newest change applied
+	known   bool
+}
+
+// New returns an empty mirror.
+func New(o Options) *Mirror { return &Mirror{o: o, items: map[string]*entry{}} }
+
+// Known reports whether a list has been received.
+func (m *Mirror) Known() bool { return m.known }
+
+// Revision returns the revision up to which all changes are known.
+func (m *Mirror) Revision() core.Revision { return m.rev }
+
+// Changed returns the revision of the newest change that was applied.
+func (m *Mirror) Changed() core.Revision { return m.changed }
+
+// Replace takes over a list of all objects as of a revision, and reports whether anything changed. An older list than
+// the mirror's is ignored. lapsed tells that the store was away before, so that missing objects may return.
+func (m *Mirror) Replace(now time.Time, items []Item, rev core.Revision, lapsed bool) bool {
+	if m.known && rev < m.rev {
+		return false
+	}
+	changed := !m.known
+	listed := make(map[string]bool, len(items))
+	for _, it := range items {
+		listed[it.Name] = true
+		changed = m.put(it) || changed
+	}
+	for name, e := range m.items {
+		if listed[name] {
+			continue
+		}
+		switch {
+		case lapsed && m.o.Grace > 0:
+			if e.missing.IsZero() {
+				e.missing = now
+			}
+		default:
+			delete(m.items, name)
+			changed = true
+			m.changed = max(m.changed, rev)
+		}
+	}
+	m.rev, m.known = rev, true
+	return changed
+}
+
+// Apply takes over changes up to a revision, and reports whether anything changed.
+func (m *Mirror) Apply(now time.Time, items []Item, rev core.Revision, lapsed bool) bool {
+	changed := false
+	for _, it := range items {
+		if !it.Gone {
+			changed = m.put(it) || changed
+			continue
+		}
+		e := m.items[it.Name]
+		if e == nil || it.Revision < e.Revision {
+			continue
+		}
+		if lapsed && m.o.Grace > 0 {
+			if e.missing.IsZero() {
+				e.missing = now
+			}
+			continue
+		}
+		delete(m.items, it.Name)
+		changed = true
+		m.changed = max(m.changed, it.Revision, rev)
+	}
+	m.rev = max(m.rev, rev)
+	return changed
+}
+
+func (m *Mirror) put(it Item) bool {
+	e := m.items[it.Name]
+	if e != nil && it.Revision <= e.Revision {
+		e.missing = time.Time{}
+		return false
+	}
+	m.items[it.Name] = &entry{Item: it}
+	m.changed = max(m.changed, it.Revision)
+	return true
+}
+
+// Expire removes objects that have been missing for the grace period, and reports whether there were any.
+func (m *Mirror) Expire(now time.Time) bool {
+	changed := false
+	for name, e := range m.items {
+		if !e.missing.IsZero() && now.Sub(e.missing) >= m.o.Grace {
+			delete(m.items, name)
+			changed = true
+			m.changed = max(m.changed, m.rev)
+		}
+	}
+	return changed
+}
+
+// Items returns the objects by name. Bodies must not be changed.
+func (m *Mirror) Items() []Item {
+	out := make([]Item, 0, len(m.items))
+	for _, e := range m.items {
+		out = append(out, e.Item)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/core/pool/assign.go
@@ -0,0 +1,199 @@
+package pool
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoondale/core"
+)
+
+const (
+	// remote is the time by which an endpoint of the own data centre is preferred over a faster one elsewhere. Bytes
+	// between data centres cost money, and the hop costs a few milliseconds.
+	remote = 8 * time.Millisecond
+	// doubt is the time that a certain failure would cost; endpoints are marked down by their failure rate times this.
+	doubt = 600 * time.Millisecond
+	// late is the mark-down of an endpoint that would miss the objective.
+	missed = time.Second
+	// lateWait is the part of the time left to a request's deadline that it may wait once it has missed its objective.
+	lateWait = 0.35
+	// retryLeast and retryMost bound the time after which a refused caller may come back.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 3 * time.Second
+)
+
+// enqueue puts a ticket into the queue by precedence: requests that can still be on time before late ones, then by
+// tier, then by arrival.
+func (p *Pool) enqueue(t *Ticket) {
+	i := sort.Search(len(p.queue), func(i int) bool { return before(t, p.queue[i]) })
+	p.queue = slices.Insert(p.queue, i, t)
+}
+
+func before(a, b *Ticket) bool {
+	if a.work.Resumed != b.work.Resumed {
+		return a.work.Resumed
+	}
+	if a.late != b.late {
+		return b.late
+	}
+	if a.work.Tier != b.work.Tier {
+		return a.work.Tier < b.work.Tier
+	}
+	return a.work.Arrived.Before(b.work.Arrived)
+}
+
+func (p *Pool) remove(t *Ticket) {
+	if i := slices.Index(p.queue, t); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+	}
+}
+
+// assign gives free slots to waiting requests in order, and refuses those that cannot be served.
+func (p *Pool) assign(now time.Time) {
+	if len(p.queue) == 0 {
+		return
+	}
+	var moved []*Ticket
+	kept := p.queue[:0]
+	for _, t := range p.queue {
+		switch d := p.decide(now, t); d := d.(type) {
+		case nil:
+			if !t.late && p.overdue(now, t) {
+				t.late = true
+				moved = append(moved, t)
+				continue
+			}
+			kept = append(kept, t)
+		case *Grant, Refusal:
+			t.done = true
+			t.Decided <- d
+		}
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+	for _, t := range moved {
+		p.enqueue(t)
+	}
+}
+
+// overdue reports whether a request cannot be on time any more even if it were sent now.
+func (p *Pool) overdue(now time.Time, t *Ticket) bool {
+	if t.work.Objective.IsZero() {
+		return false
+	}
+	best := time.Duration(-1)
+	for _, a := range p.order {
+		if a.open(now) {
+			if f, _ := p.model.expect(a, &t.work); best < 0 || f < best {
+				best = f
+			}
+		}
+	}
+	return now.Add(max(best, 0)).After(t.work.Objective)
+}
+
+// decide returns a grant, a refusal, or nil if the request is to wait.
+func (p *Pool) decide(now time.Time, t *Ticket) Decision {
+	if !now.Before(t.work.Deadline) {
+		return Refusal{Retry: retryLeast, Reason: "deadline"}
+	}
+	free := 0
+	var best *account
+	var bestScore time.Duration
+	listed := false
+	for _, a := range p.order {
+		if slices.Contains(t.work.Exclude, a.ID) {
+			continue
+		}
+		if !a.Leaving {
+			listed = true
+		}
+		if !a.open(now) {
+			continue
+		}
+		n := a.free()
+		if n <= 0 {
+			continue
+		}
+		free += n
+		s := p.score(now, a, &t.work)
+		if best == nil || s < bestScore {
+			best, bestScore = a, s
+		}
+	}
+	if best != nil && (free > p.ahead(t.work.Tier) || t.work.Resumed) {
+		return p.grant(now, best, t)
+	}
+	if !listed {
+		return Refusal{Retry: retryLeast, Reason: "no endpoint"}
+	}
+	if t.late {
+		if now.Sub(t.work.Arrived) > time.Duration(lateWait*float64(t.work.Deadline.Sub(t.work.Arrived))) {
+			return Refusal{Retry: p.retry(), Reason: "overload"}
+		}
+	}
+	return nil
+}
+
+// score is lower for better endpoints.
+func (p *Pool) score(now time.Time, a *account, w *Work) time.Duration {
+	first, last := p.model.expect(a, w)
+	s := first + (last-first)/8 + time.Duration(a.failures*float64(doubt))
+	if a.Centre != p.o.Centre {
+		s += remote
+	}
+	if !w.Objective.IsZero() && now.Add(first).After(w.Objective) {
+		s += missed
+	}
+	// Up to 2 ms that differ by instance and endpoint, so that instances with equal knowledge choose differently.
+	return s + time.Duration((xxhash.Sum64String(string(a.ID))^p.o.Seed)%2000)*time.Microsecond
+}
+
+func (p *Pool) grant(now time.Time, a *account, t *Ticket) *Grant {
+	first, _ := p.model.expect(a, &t.work)
+	g := &Grant{
+		Endpoint: a.Endpoint, Expected: first, Waiting: len(p.queue) - 1, Running: a.total(),
+		acct: a, work: t.work, sent: now, ahead: a.backlog() + t.work.Prompt,
+	}
+	if a.strikes > 0 {
+		g.probe, a.probing = true, true
+	}
+	a.running++
+	a.reading += t.work.Prompt
+	return g
+}
+
+// retry returns the time after which the queue is expected to be gone.
+func (p *Pool) retry() time.Duration {
+	if !p.served.gap.set {
+		return retryLeast
+	}
+	return min(max(time.Duration(p.served.gap.value*float64(len(p.queue)+1)), retryLeast), retryMost)
+}
+
+// Free returns the number of free slots of open endpoints and the number of all their slots.
+func (p *Pool) Free(now time.Time) (free, slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.order {
+		if a.open(now) {
+			free += max(a.free(), 0)
+			slots += a.Slots
+		}
+	}
+	return free, slots
+}
+
+// Endpoint returns the entry of an endpoint if it is listed.
+func (p *Pool) Endpoint(id core.EndpointID) (Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.accounts[id]
+	if !ok {
+		return Endpoint{}, false
+	}
+	return a.Endpoint, true
+}
--- /dev/null
+++ b/core/pool/model.go
@@ -0,0 +1,90 @@
+package pool
+
+import (
+	"time"
+
+	"monsoondale/core"
+)
+
+const (
+	// modelDecay is the weight that a sample keeps with each later one; about the last 100 count.
+	modelDecay = 0.99
+	// speedWeight is the weight of the newest sample in an endpoint's relative speed.
+	speedWeight = 0.15
+	// firstDefault is the time to a first event that is assumed before any was seen.
+	firstDefault = 60 * time.Millisecond
+	// stepDefault is the time between events that is assumed before any was seen.
+	stepDefault = 30 * time.Millisecond
+	// eventTokens is the number of tokens that an event is assumed to hold.
+	eventTokens = 6
+	// speedLeast and speedMost bound an endpoint's relative speed, so that one odd sample does not rule it out.
+	speedLeast, speedMost = 0.2, 8
+)
+
+// model predicts the time to the first event as a linear function of the prompt tokens to be read before it, the same
+// for all endpoints of a pool but for a factor for each. The line is fitted by least squares with exponential decay.
+type model struct {
+	n, x, y, xx, xy float64
+	rate            pace // arrivals
+}
+
+func newModel() model { return model{} }
+
+func (m *model) arrival(now time.Time) { m.rate.add(now, 0) }
+
+// line returns the constant and the slope of the fit, in nanoseconds and nanoseconds a token.
+func (m *model) line() (constant, slope float64) {
+	if m.n < 5 {
+		return float64(firstDefault), 0
+	}
+	det := m.n*m.xx - m.x*m.x
+	mean := m.y / m.n
+	if det > 1e-6*m.n*m.xx {
+		slope = (m.n*m.xy - m.x*m.y) / det
+	}
+	if slope <= 0 {
+		return mean, 0
+	}
+	constant = (m.y - slope*m.x) / m.n
+	if constant < 0 {
+		return 0, m.y / m.x
+	}
+	return constant, slope
+}
+
+func (m *model) first(a *account, ahead core.Tokens, d time.Duration) {
+	x, y := float64(ahead), float64(d)
+	c, s := m.line()
+	if expected := c + s*x; expected > 0 && m.n >= 20 {
+		ratio := min(max(y/expected, speedLeast), speedMost)
+		a.speed += speedWeight * (ratio - a.speed)
+	}
+	y /= a.speed
+	m.n, m.x, m.y, m.xx, m.xy = m.n*modelDecay+1, m.x*modelDecay+x, m.y*modelDecay+y, m.xx*modelDecay+x*x, m.xy*modelDecay+x*y
+}
+
+// expect returns the predicted time to the first event and to the last one.
+func (m *model) expect(a *account, w *Work) (first, last time.Duration) {
+	c, s := m.line()
+	f := a.speed * (c + s*float64(a.backlog()+w.Prompt))
+	step := float64(stepDefault)
+	if a.step.set {
+		step = a.step.value
+	}
+	return time.Duration(f), time.Duration(f + step*float64(w.Output)/eventTokens)
+}
+
+// pace measures how often something happens, and the mean of a duration that comes with it.
+type pace struct {
+	last time.Time
+	gap  average
+	took average
+}
+
+func (p *pace) add(now time.Time, d time.Duration) {
+	if !p.last.IsZero() {
+		p.gap.add(float64(now.Sub(p.last)), 0.05)
+	}
+	p.last = now
+	p.took.add(float64(d), 0.05)
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,238 @@
+// Package pool decides, at one instance and for one service, which request is sent to which endpoint, which one waits
+// and which one is refused. It knows the requests that this instance has sent, the loads that other instances report,
+// and how fast and how reliable each endpoint has been. Engines have no priorities and run requests in the order of
+// arrival, so a request is held back here until a slot is free, where its order can still change.
+package pool
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"monsoondale/core"
+)
+
+// Endpoint is an entry of the list of endpoints.
+type Endpoint struct {
+	ID      core.EndpointID
+	Address string // IP and port
+	Centre  core.DataCentre
+	Slots   int  // requests that it works on at once
+	Leaving bool // takes no new work
+	// Incarnation tells starts under the same id apart; 0 if unknown.
+	Incarnation int64
+}
+
+// Work describes a request that needs an endpoint.
+type Work struct {
+	ID     core.RequestID
+	Tier   core.Tier
+	Prompt core.Tokens
+	Output core.Tokens // upper bound; 0 for plain services
+	// Arrived is the time at which the request had been read.
+	Arrived time.Time
+	// Objective is the time by which the response, or the first event, is on time. Zero for none.
+	Objective time.Time
+	// Deadline is the time after which the response is of no use.
+	Deadline time.Time
+	// Exclude names endpoints that must not be chosen.
+	Exclude []core.EndpointID
+	// Resumed marks a request that another endpoint had begun; its caller is already receiving.
+	Resumed bool
+}
+
+// Decision is the outcome of a wait: a *Grant or a Refusal.
+type Decision interface{ decision() }
+
+// Refusal says that no endpoint was given. Retry is the time after which one is expected to be free.
+type Refusal struct {
+	Retry  time.Duration
+	Reason string
+}
+
+// Grant is the right to send one request to an endpoint. It ends with Pool.Done.
+type Grant struct {
+	Endpoint Endpoint
+	// Expected is the time to the first event that the pool predicts.
+	Expected time.Duration
+	// Waiting is the number of requests that waited here when the grant was made, and Running the load of the endpoint.
+	Waiting, Running int
+
+	acct    *account
+	work    Work
+	sent    time.Time
+	ahead   core.Tokens // prompt tokens that the endpoint reads up to the end of this prompt
+	started bool
+	probe   bool
+}
+
+func (*Grant) decision()  {}
+func (Refusal) decision() {}
+
+// Outcome is how a request ended at an endpoint.
+type Outcome int
+
+// Outcomes.
+const (
+	// Served is a response of the endpoint, whatever its status.
+	Served Outcome = iota
+	// Cancelled is an end that says nothing about the endpoint, such as a caller that left.
+	Cancelled
+	// Unreachable is a refused or timed out connection; the request did not run.
+	Unreachable
+	// Rejected is a response that says that the request did not run.
+	Rejected
+	// Broken is a response that was cut off, spoilt or did not come.
+	Broken
+	// Moved is an address that now belongs to another endpoint; the request did not run.
+	Moved
+)
+
+func (o Outcome) String() string {
+	return [...]string{"served", "cancelled", "unreachable", "rejected", "broken", "moved"}[o]
+}
+
+// Ticket is a request's place in the queue.
+type Ticket struct {
+	// Decided receives the decision once.
+	Decided chan Decision
+	work    Work
+	late    bool
+	done    bool
+}
+
+// Options configures a Pool.
+type Options struct {
+	Centre core.DataCentre // of this instance
+	// Seed makes choices between equal endpoints differ between instances.
+	Seed uint64
+}
+
+// Pool schedules the requests of one service. It is safe for concurrent use.
+type Pool struct {
+	mu       sync.Mutex
+	o        Options
+	accounts map[core.EndpointID]*account
+	order    []*account // sorted by id
+	queue    []*Ticket  // by precedence
+	peers    map[core.InstanceID]report
+	model    model
+	served   pace
+}
+
+// New returns an empty pool.
+func New(o Options) *Pool {
+	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]report{}, model: newModel()}
+}
+
+// List replaces the list of endpoints. Requests at endpoints that are no longer listed run on.
+func (p *Pool) List(now time.Time, list []Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[core.EndpointID]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		a := p.accounts[e.ID]
+		if a == nil || a.Address != e.Address || a.Incarnation != e.Incarnation {
+			a = &account{speed: 1}
+			p.accounts[e.ID] = a
+		}
+		a.Endpoint = e
+	}
+	p.order = p.order[:0]
+	for id, a := range p.accounts {
+		if !listed[id] {
+			delete(p.accounts, id)
+			continue
+		}
+		p.order = append(p.order, a)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
+	p.assign(now)
+}
+
+// Submit asks for an endpoint. The decision may be there on return.
+func (p *Pool) Submit(now time.Time, w Work) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := &Ticket{Decided: make(chan Decision, 1), work: w}
+	p.model.arrival(now)
+	p.enqueue(t)
+	p.assign(now)
+	return t
+}
+
+// Withdraw ends a wait. It returns the grant if one had been made, which the caller of Withdraw must end with Done.
+func (p *Pool) Withdraw(now time.Time, t *Ticket) *Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.done {
+		select {
+		case d := <-t.Decided:
+			if g, ok := d.(*Grant); ok {
+				return g
+			}
+		default:
+		}
+		return nil
+	}
+	t.done = true
+	p.remove(t)
+	return nil
+}
+
+// Tick refuses what can no longer be served and assigns what can. It is called every few milliseconds while requests
+// wait.
+func (p *Pool) Tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.assign(now)
+}
+
+// First records that the endpoint of a grant has begun its response.
+func (p *Pool) First(now time.Time, g *Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.started {
+		return
+	}
+	g.started = true
+	g.acct.reading -= g.work.Prompt
+	p.model.first(g.acct, g.ahead, now.Sub(g.sent))
+}
+
+// Pace records the mean time between events of a stream.
+func (p *Pool) Pace(g *Grant, events int, d time.Duration) {
+	if events <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.acct.step.add(float64(d)/float64(events), 0.2)
+}
+
+// Done ends a grant.
+func (p *Pool) Done(now time.Time, g *Grant, o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := g.acct
+	a.running--
+	if !g.started {
+		a.reading -= g.work.Prompt
+	}
+	if g.probe {
+		a.probing = false
+	}
+	a.judge(now, o)
+	if o == Served {
+		p.served.add(now, now.Sub(g.sent))
+	}
+	p.assign(now)
+}
+
+// Waiting returns the number of requests that wait.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.queue)
+}
--- /dev/null
+++ b/gateway/budgets.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"monsoondale/core"
+	"monsoondale/core/quota"
+	"monsoondale/core/retry"
+	"monsoondale/core/route"
+)
+
+// retryMargin is the part of the repeat budget that is used. The windows of the instances are not aligned with those
+// in which the limit is checked.
+const retryMargin = 0.8
+
+// budgets guards the quotas and repeat budgets for the goroutines that serve requests.
+type budgets struct {
+	mu        sync.Mutex
+	ledger    *quota.Ledger
+	repeats   map[route.Service]*retry.Budget
+	options   retry.Options
+	instances int
+}
+
+func newBudgets(start int64, s *Settings) *budgets {
+	b := &budgets{ledger: quota.New(start), repeats: map[route.Service]*retry.Budget{}, instances: 1}
+	b.configure(s)
+	return b
+}
+
+func (b *budgets) configure(s *Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.options = retry.Options{Window: s.RetryWindow, Ratio: s.RetryRatio, Extra: s.RetryExtra, Margin: retryMargin}
+}
+
+// Take counts units of a workspace.
+func (b *budgets) Take(id core.WorkspaceID, units float64) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Take(time.Now(), id, units)
+}
+
+// Return gives units back.
+func (b *budgets) Return(id core.WorkspaceID, units float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.Return(id, units)
+}
+
+// Request counts a request.
+func (b *budgets) Request(s route.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.service(s).Request(time.Now())
+}
+
+// Repeat counts a repeat if it is allowed.
+func (b *budgets) Repeat(s route.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.service(s).Take(time.Now(), b.instances)
+}
+
+func (b *budgets) service(s route.Service) *retry.Budget {
+	r := b.repeats[s]
+	if r == nil {
+		r = retry.New(b.options)
+		b.repeats[s] = r
+	}
+	return r
+}
+
+// fleet sets the number of instances that are heard, this one included, and of all that share the budgets.
+func (b *budgets) fleet(now time.Time, heard, all int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = max(all, 1)
+	b.ledger.Share(now, float64(heard)/float64(max(all, 1)))
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,33 @@
+// Package gateway runs one instance that forwards callers' requests to the endpoints listed in a store. It wires the
+// packages of core and io together and owns the configuration, the list of endpoints and the list of instances.
+package gateway
+
+import (
+	"time"
+
+	"monsoondale/core"
+)
+
+// MetricsPort is the port of the metrics address. It is outside the ranges that the platform gives to instances.
+const MetricsPort = 9464
+
+// Settings configures a gateway. Addresses are IP:PORT.
+type Settings struct {
+	Name    core.InstanceID
+	Centre  core.DataCentre
+	Region  core.Region
+	Callers string // requests of callers
+	Ready   string // health checks of the balancer
+	Mesh    string // messages between instances, UDP and TCP
+	Metrics string
+	Store   string
+	// Memory is the limit of the process in bytes, and Descriptors that of open files.
+	Memory      int64
+	Descriptors int
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound the repeats of a service on all instances; see core/retry.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
--- /dev/null
+++ b/io/front/attempt.go
@@ -0,0 +1,224 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"monsoondale/core/pool"
+	"monsoondale/core/route"
+	"monsoondale/io/endpoint"
+)
+
+const (
+	// wholeLimit is the largest response in bytes that is held back until it is complete. A larger one is passed on as
+	// it arrives.
+	wholeLimit = 1 << 20
+	// patienceFactor and patienceLeast bound the wait for a response that another endpoint could give: a multiple of
+	// what the pool predicts, and no less than the time within which most slow responses arrive.
+	patienceFactor = 4
+	patienceLeast  = 400 * time.Millisecond
+	// silence is the pause within a stream after which another endpoint continues it. Callers abandon a stream after
+	// two seconds or more.
+	silence = 1200 * time.Millisecond
+	// useless is the time left below which a request is not sent again.
+	useless = 20 * time.Millisecond
+)
+
+var (
+	errUnsigned = errors.New("success without the endpoint's signature")
+	errSilent   = errors.New("no response in time")
+	errEncoded  = errors.New("response with an encoding that was not asked for")
+	errSkipped  = errors.New("event out of order")
+	errLarge    = errors.New("response is too large to hold")
+)
+
+// attempt is one sending of a request to one endpoint.
+type attempt struct {
+	x       *exchange
+	ctx     context.Context
+	grant   *pool.Grant
+	outcome pool.Outcome
+	resp    *endpoint.Response
+	started time.Time
+	// impatient cancels the attempt if no response begins; nil if no other endpoint may be asked.
+	impatient *time.Timer
+}
+
+// attempt sends the request to an endpoint and passes the response on. It reports whether the request is to be sent to
+// another endpoint.
+func (x *exchange) attempt(ctx context.Context, g *pool.Grant) (result, bool) {
+	x.endpoint = g.Endpoint.ID
+	x.exclude = append(x.exclude, g.Endpoint.ID)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &attempt{x: x, ctx: ctx, grant: g, outcome: pool.Cancelled, started: time.Now()}
+	defer func() { x.pool.Done(time.Now(), g, a.outcome) }()
+	if patience := x.patience(g); patience > 0 {
+		a.impatient = time.AfterFunc(patience, func() { cancel(errSilent) })
+		defer a.impatient.Stop()
+	}
+	return a.send()
+}
+
+// began records that the response has begun.
+func (a *attempt) began() {
+	if a.impatient != nil {
+		a.impatient.Stop()
+	}
+	a.x.pool.First(time.Now(), a.grant)
+}
+
+func (a *attempt) send() (result, bool) {
+	x := a.x
+	s := Send{Endpoint: a.grant.Endpoint.ID, Left: time.Until(x.deadline), LastEvent: x.last}
+	if x.ws != nil {
+		s.Workspace = x.ws.ID
+	}
+	if s.Left < time.Millisecond {
+		return x.unserved("deadline", elsewhere), false
+	}
+	h := forwarded(x.r.Header)
+	x.f.o.Dialect.Send(h, s)
+	resp, err := x.f.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
+		ID: x.call.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
+		Once: !x.route.Repeatable(),
+	})
+	var unsent *endpoint.NotSent
+	switch {
+	case errors.As(err, &unsent):
+		x.cause = err
+		if a.ctx.Err() == nil {
+			a.outcome = pool.Unreachable
+		}
+		return x.again(a.ctx, "endpoint unreachable")
+	case err != nil:
+		x.sent++
+		x.ran++
+		return a.broke(err)
+	}
+	defer resp.Close()
+	a.resp = resp
+	x.sent++
+	v := x.f.o.Dialect.Verdict(resp.Response)
+	switch {
+	case v.Moved:
+		a.outcome = pool.Moved
+		a.skip()
+		return x.again(a.ctx, "endpoint moved")
+	case v.NotRun:
+		a.outcome = pool.Rejected
+		a.skip()
+		return x.again(a.ctx, "endpoint rejected the request")
+	}
+	x.ran++
+	success := resp.StatusCode < 300
+	switch {
+	case success && !v.Signed:
+		return a.broke(errUnsigned)
+	case resp.Header.Get("Content-Encoding") != "":
+		return a.broke(errEncoded)
+	case x.route.Kind == route.Stream && success:
+		return a.stream()
+	default:
+		return a.whole()
+	}
+}
+
+// patience returns how long to wait for the beginning of a response before another endpoint is asked; 0 if none may be.
+func (x *exchange) patience(g *pool.Grant) time.Duration {
+	if !x.route.Repeatable() || x.ran+1 >= x.route.Attempts {
+		return 0
+	}
+	return max(patienceFactor*g.Expected, patienceLeast)
+}
+
+// skip reads a response that is not passed on, so that its connection can be used again.
+func (a *attempt) skip() {
+	if n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, wholeLimit)); err == nil && n < wholeLimit {
+		a.resp.Finished()
+	}
+}
+
+// again decides whether a request that an endpoint did not run is sent to another one.
+func (x *exchange) again(ctx context.Context, reason string) (result, bool) {
+	switch {
+	case x.r.Context().Err() != nil:
+		return x.left(), false
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent), time.Until(x.deadline) < useless:
+		return x.unserved("deadline", elsewhere), false
+	case x.sent > 0 && !x.f.o.Budgets.Repeat(x.service):
+		return x.unserved(reason+", repeats exhausted", retryRejected), false
+	case len(x.exclude) > maxSends:
+		return x.unserved(reason, retryRejected), false
+	}
+	return result{reason: reason}, true
+}
+
+const (
+	// retryRejected is the Retry-After of a request that no endpoint accepted; endpoints that reject in error are
+	// suspended within that time.
+	retryRejected = 300 * time.Millisecond
+	// maxSends bounds how many endpoints are tried for one request that none of them ran.
+	maxSends = 4
+)
+
+// broke handles a response that did not come or was spoilt: the request may have run.
+func (a *attempt) broke(err error) (result, bool) {
+	x := a.x
+	if cause := context.Cause(a.ctx); cause != nil {
+		err = cause
+	}
+	x.cause = err
+	if x.r.Context().Err() != nil && x.route.Kind != route.Once {
+		return x.left(), false
+	}
+	if errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline) {
+		return x.fail(http.StatusGatewayTimeout, "deadline"), false
+	}
+	a.outcome = pool.Broken
+	switch {
+	case !x.route.Repeatable():
+		return x.fail(http.StatusBadGateway, "endpoint failed"), false
+	case x.ran >= x.route.Attempts:
+		return x.fail(http.StatusBadGateway, "endpoint failed, attempts exhausted"), false
+	case time.Until(x.deadline) < useless:
+		return x.fail(http.StatusGatewayTimeout, "deadline"), false
+	case !x.f.o.Budgets.Repeat(x.service):
+		return x.fail(http.StatusBadGateway, "endpoint failed, repeats exhausted"), false
+	}
+	return result{reason: "endpoint failed"}, true
+}
+
+// whole passes a response on once it is complete.
+func (a *attempt) whole() (result, bool) {
+	x, resp := a.x, a.resp
+	a.began()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit+1))
+	if err == nil && len(b) > wholeLimit {
+		err = errLarge
+	}
+	if err != nil {
+		return a.broke(err)
+	}
+	resp.Finished()
+	a.outcome = pool.Served
+	if x.begun {
+		return result{status: resp.StatusCode, reason: "endpoint would not continue", abort: true}, false
+	}
+	h := x.w.Header()
+	relay(h, resp.Header)
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on connections that are gone
+	x.w.WriteHeader(resp.StatusCode)
+	x.begun, x.first = true, time.Now()
+	if _, err := x.w.Write(b); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		x.cause = err
+		return result{status: statusLeft, reason: "caller left", abort: true}, false
+	}
+	return result{status: resp.StatusCode, reason: "served"}, false
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -398,7 +398,7 @@
 		}))
 	huma.Register(api, operation("/metrics", "metrics", "Metrics in the text format of Prometheus"),
 		handle(func(context.Context, *struct{}) (*textOutput, error) {
-			b, err := exposition(s.Metrics, s.Rows())
+			b, err := Exposition(s.Metrics, s.Rows())
 			return &textOutput{metricsType, b}, err
 		}))
 	probe := func(path, id, summary string, state func() (bool, string)) {
