Renew watches in turn, so that one that has gone deaf is found

Ruled out: a lost digest; all instances held the same old revision. Change: a watch lasts 0.5 s for each instance heard, with jitter; peers fetch what the renewed one finds.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. Keep-alive probes find connections that have gone silent sooner.
-	watchWait = 8 * time.Second
+	// A watch may go deaf without an end. Each one is renewed after watchEach for every instance that is heard, so that
+	// some instance of the fleet renews one about twice a second, and the others learn of what it finds.
+	watchEach = 500 * time.Millisecond
+	// watchLeast and watchMost bound the time until a watch is renewed.
+	watchLeast = time.Second
+	watchMost  = 10 * time.Second
 	// relistLeast and relistMost bound the pause after a failed call to the store.
 	relistLeast = 60 * time.Millisecond
 	relistMost  = 700 * time.Millisecond
@@ -45,7 +49,8 @@
 	store      Store
 	log        logr.Logger
 	out        chan<- update
-	poke       <-chan struct{} // another instance knows a newer revision
+	// heard returns the number of instances that are heard, this one included.
+	heard func() int
 
 	rev      core.Revision
 	listed   bool
@@ -92,21 +97,7 @@
 	u := update{collection: f.collection, from: "store"}
 	var err error
 	if f.listed {
-		wctx, cancel := context.WithCancel(ctx)
-		stop := make(chan struct{})
-		go func() {
-			defer cancel()
-			select {
-			case <-f.poke:
-			case <-stop:
-			}
-		}()
-		u.items, u.rev, err = f.store.Watch(wctx, f.collection, f.rev, watchWait)
-		close(stop)
-		if err != nil && wctx.Err() != nil && ctx.Err() == nil {
-			f.listed = false // poked
-			return nil
-		}
+		u.items, u.rev, err = f.store.Watch(ctx, f.collection, f.rev, f.wait())
 	} else {
 		u.whole = true
 		u.items, u.rev, err = f.store.List(ctx, f.collection)
@@ -130,6 +121,15 @@
 	return nil
 }
 
+// wait returns how long the next watch waits. It varies, so that the instances do not renew theirs together.
+func (f *feed) wait() time.Duration {
+	if f.collection == Members {
+		return watchMost
+	}
+	d := min(max(watchEach*time.Duration(f.heard()), watchLeast), watchMost)
+	return d*3/4 + rand.N(d/2)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	leaving atomic.Bool
 	updates chan update
 	heard   chan wire.Digest
-	pokes   [collections]chan struct{}
+	peers   atomic.Int64 // instances heard, this one included
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	servers []*http.Server
@@ -113,7 +113,6 @@
 			o.Grace = endpointGrace
 		}
 		g.mirrors[c] = mirror.New(o)
-		g.pokes[c] = make(chan struct{}, 1)
 	}
 	g.view.Store(&front.View{})
 	g.client = endpoint.New(endpoint.Options{Echo: o.Echo})
@@ -147,7 +146,7 @@
 		g.control(ctx)
 	}()
 	for c := range collections {
-		f := &feed{collection: c, store: o.Store, log: g.log, out: g.updates, poke: g.pokes[c]}
+		f := &feed{collection: c, store: o.Store, log: g.log, out: g.updates, heard: func() int { return int(g.peers.Load()) }}
 		g.running.Add(1)
 		go func() {
 			defer g.running.Done()
@@ -258,6 +257,7 @@
 	}
 	heard, all := g.members.count(now)
 	g.budgets.fleet(now, heard, all)
+	g.peers.Store(int64(heard))
 	for _, m := range g.members.byName {
 		if silent := now.Sub(m.heard) > heardWithin; silent != m.silent && (silent || !m.heard.IsZero()) {
 			m.silent = silent
--- a/io/front/record.go
+++ b/io/front/record.go
@@ -78,4 +78,6 @@
 }
 
 // ms returns a duration in milliseconds with a tenth.
-func ms(d time.Duration) float64 { return float64(d.Round(100*time.Microsecond)) / float64(time.Millisecond) }
+func ms(d time.Duration) float64 {
+	return float64(d.Round(100*time.Microsecond)) / float64(time.Millisecond)
+}
