--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,62 @@
+package mirror_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"monsoondale/core"
+	"monsoondale/core/mirror"
+)
+
+var begin = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func item(name string, rev core.Revision) mirror.Item { return mirror.Item{Name: name, Revision: rev} }
+
+func names(m *mirror.Mirror) []string {
+	return lo.Map(m.Items(), func(it mirror.Item, _ int) string { return it.Name })
+}
+
+// Guards against an older list, from a slow call or another instance, that undoes a newer state.
+func TestRevisionNeverGoesDown(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New(mirror.Options{})
+	g.Expect(m.Replace(begin, []mirror.Item{item("a", 5), item("b", 8)}, 8, false)).To(BeTrue())
+	g.Expect(m.Replace(begin, []mirror.Item{item("a", 5)}, 7, false)).To(BeFalse())
+	g.Expect(names(m)).To(Equal([]string{"a", "b"}))
+	gone := item("b", 6)
+	gone.Gone = true
+	g.Expect(m.Apply(begin, []mirror.Item{gone}, 9, false)).To(BeFalse(), "the removal of an earlier object of that name")
+	gone.Revision = 9
+	g.Expect(m.Apply(begin, []mirror.Item{gone}, 9, false)).To(BeTrue())
+	g.Expect(names(m)).To(Equal([]string{"a"}))
+	g.Expect(m.Changed()).To(Equal(core.Revision(9)))
+}
+
+// Guards against an endpoint that left while the history was dropped: it is missing from the next list.
+func TestRemovalSeenOnlyInAList(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New(mirror.Options{Grace: time.Second})
+	m.Replace(begin, []mirror.Item{item("a", 1), item("b", 2)}, 2, false)
+	g.Expect(m.Replace(begin, []mirror.Item{item("a", 1)}, 9, false)).To(BeTrue())
+	g.Expect(names(m)).To(Equal([]string{"a"}))
+	g.Expect(m.Changed()).To(Equal(core.Revision(9)), "other instances learn that this copy is newer")
+}
+
+// Guards against an empty fleet after an outage in which the entries lapsed, and against entries that stay for ever.
+func TestLapsedEntries(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New(mirror.Options{Grace: time.Second})
+	m.Replace(begin, []mirror.Item{item("a", 1), item("b", 2)}, 2, false)
+	gone := item("a", 5)
+	gone.Gone = true
+	m.Apply(begin, []mirror.Item{gone}, 5, true)
+	m.Replace(begin, nil, 6, true)
+	g.Expect(names(m)).To(Equal([]string{"a", "b"}))
+	m.Apply(begin.Add(500*time.Millisecond), []mirror.Item{item("a", 7)}, 7, true)
+	g.Expect(m.Expire(begin.Add(900 * time.Millisecond))).To(BeFalse())
+	g.Expect(m.Expire(begin.Add(time.Second))).To(BeTrue())
+	g.Expect(names(m)).To(Equal([]string{"a"}), "written again within the grace period")
+}
--- a/core/pool/account.go
+++ b/core/pool/account.go
@@ -42,7 +42,8 @@
 	reading core.Tokens // prompt tokens of this instance's requests whose response has not begun
 	others  load        // what other instances report
 
-	speed float64 // time to the first event relative to the pool's model; higher is slower
+	speed   float64 // time to the first event relative to the pool's model; higher is slower
+	samples int     // first events seen
 	step  average // nanoseconds between events
 
 	failures  float64
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -104,8 +104,9 @@
 	var best *account
 	var bestScore time.Duration
 	listed := false
+	exclude := p.excluded(&t.work)
 	for _, a := range p.order {
-		if slices.Contains(t.work.Exclude, a.ID) {
+		if slices.Contains(exclude, a.ID) {
 			continue
 		}
 		if !a.Leaving {
@@ -138,6 +139,16 @@
 	return nil
 }
 
+// excluded returns the endpoints that are not chosen for a request: those that were tried, unless no other is left.
+func (p *Pool) excluded(w *Work) []core.EndpointID {
+	for _, a := range p.order {
+		if !a.Leaving && !slices.Contains(w.Exclude, a.ID) {
+			return w.Exclude
+		}
+	}
+	return nil
+}
+
 // score is lower for better endpoints.
 func (p *Pool) score(now time.Time, a *account, w *Work) time.Duration {
 	first, last := p.model.expect(a, w)
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -17,6 +17,10 @@
 	stepDefault = 30 * time.Millisecond
 	// eventTokens is the number of tokens that an event is assumed to hold.
 	eventTokens = 6
+	// untried is the relative speed that an endpoint is given until triedAfter first events were seen, so that it gets
+	// them even if others are known to be good.
+	untried    = 0.7
+	triedAfter = 5
 	// speedLeast and speedMost bound an endpoint's relative speed, so that one odd sample does not rule it out.
 	speedLeast, speedMost = 0.2, 8
 )
@@ -53,6 +57,7 @@
 }
 
 func (m *model) first(a *account, ahead core.Tokens, d time.Duration) {
+	a.samples++
 	x, y := float64(ahead), float64(d)
 	c, s := m.line()
 	if expected := c + s*x; expected > 0 && m.n >= 20 {
@@ -66,7 +71,11 @@
 // expect returns the predicted time to the first event and to the last one.
 func (m *model) expect(a *account, w *Work) (first, last time.Duration) {
 	c, s := m.line()
-	f := a.speed * (c + s*float64(a.backlog()+w.Prompt))
+	speed := a.speed
+	if a.samples < triedAfter {
+		speed *= untried
+	}
+	f := speed * (c + s*float64(a.backlog()+w.Prompt))
 	step := float64(stepDefault)
 	if a.step.set {
 		step = a.step.value
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -35,7 +35,7 @@
 	Objective time.Time
 	// Deadline is the time after which the response is of no use.
 	Deadline time.Time
-	// Exclude names endpoints that must not be chosen.
+	// Exclude names endpoints that were tried. They are chosen only if there is no other.
 	Exclude []core.EndpointID
 	// Resumed marks a request that another endpoint had begun; its caller is already receiving.
 	Resumed bool
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,68 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"monsoondale/core/retry"
+)
+
+var begin = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// Guards against repeats that exceed the fleet's budget when every instance uses its own part, in any window.
+func TestFleetStaysWithinBudget(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		ratio     = 0.2
+		extra     = 52.0
+		instances = 6
+	)
+	g := NewWithT(t)
+	type sample struct{ requests, repeats float64 }
+	var steps []sample // per 100 ms, of all instances
+	fleet := make([]*retry.Budget, instances)
+	for i := range fleet {
+		fleet[i] = retry.New(retry.Options{Window: window, Ratio: ratio, Extra: extra, Margin: 0.8})
+	}
+	for step := range 400 {
+		now := begin.Add(time.Duration(step) * 100 * time.Millisecond)
+		var s sample
+		for i, b := range fleet {
+			for range (step / 40 * (i + 1)) % 5 { // load that changes and differs by instance
+				b.Request(now)
+				s.requests++
+			}
+			for b.Take(now, instances) {
+				s.repeats++
+			}
+		}
+		steps = append(steps, s)
+	}
+	for i := range steps {
+		var sum sample
+		for _, s := range steps[max(0, i-99) : i+1] {
+			sum.requests += s.requests
+			sum.repeats += s.repeats
+		}
+		before := sample{}
+		for _, s := range steps[max(0, i-199):max(0, i-99)] {
+			before.requests += s.requests
+		}
+		g.Expect(sum.repeats).To(BeNumerically("<=", ratio*max(sum.requests, before.requests)+extra), "window that ends at step %d", i)
+	}
+}
+
+// Guards against a budget that is used up for ever.
+func TestBudgetReturns(t *testing.T) {
+	g := NewWithT(t)
+	b := retry.New(retry.Options{Window: 10 * time.Second, Ratio: 0.2, Extra: 10, Margin: 1})
+	n := 0
+	for b.Take(begin, 1) {
+		n++
+	}
+	g.Expect(n).To(Equal(10))
+	g.Expect(b.Take(begin.Add(5*time.Second), 1)).To(BeFalse())
+	g.Expect(b.Take(begin.Add(11*time.Second), 1)).To(BeTrue())
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e = &member{Member: m, udp: udp, since: now}
+	e = &member{Member: m, udp: udp, since: now, silent: true}
 	ms.byName[m.Name] = e
 	return e, nil
 }
