Let three instances watch the store for all, in turn

Change: the first three instances that are heard and that the store answers watch it, each renewing its watches in its third of 1.2 s; the others fetch what has changed from them. A process that starts asks its peers before the store.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -37,8 +37,14 @@
 	rev     core.Revision // up to which all changes are known
 	changed core.Revision // of the newest change applied
 	known   bool
+	// removed are the latest removals, oldest first, and complete the revision since which none was forgotten.
+	removed  []Item
+	complete core.Revision
 }
 
+// removals is the number of removals that are remembered for other instances.
+const removals = 256
+
 // New returns an empty mirror.
 func New(o Options) *Mirror { return &Mirror{o: o, items: map[string]*entry{}} }
 
@@ -73,11 +79,13 @@
 				e.missing = now
 			}
 		default:
-			delete(m.items, name)
+			m.drop(name, rev)
 			changed = true
-			m.changed = max(m.changed, rev)
 		}
 	}
+	if !m.known {
+		m.complete = rev
+	}
 	m.rev, m.known = rev, true
 	return changed
 }
@@ -100,9 +108,8 @@
 			}
 			continue
 		}
-		delete(m.items, it.Name)
+		m.drop(it.Name, max(it.Revision, rev))
 		changed = true
-		m.changed = max(m.changed, it.Revision, rev)
 	}
 	m.rev = max(m.rev, rev)
 	return changed
@@ -124,14 +131,29 @@
 	changed := false
 	for name, e := range m.items {
 		if !e.missing.IsZero() && now.Sub(e.missing) >= m.o.Grace {
-			delete(m.items, name)
+			m.drop(name, m.rev)
 			changed = true
-			m.changed = max(m.changed, m.rev)
 		}
 	}
 	return changed
 }
 
+// drop removes an object.
+func (m *Mirror) drop(name string, rev core.Revision) {
+	delete(m.items, name)
+	m.changed = max(m.changed, rev)
+	m.removed = append(m.removed, Item{Name: name, Revision: rev, Gone: true})
+	if n := len(m.removed) - removals; n > 0 {
+		m.complete = max(m.complete, m.removed[n-1].Revision)
+		m.removed = m.removed[n:]
+	}
+}
+
+// Removed returns the latest removals, and the revision since which there were no others.
+func (m *Mirror) Removed() ([]Item, core.Revision) {
+	return append([]Item(nil), m.removed...), m.complete
+}
+
 // Items returns the objects by name. Bodies must not be changed.
 func (m *Mirror) Items() []Item {
 	out := make([]Item, 0, len(m.items))
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -14,12 +15,16 @@
 )
 
 const (
-	// A watch may go deaf without an end. Each one is renewed after watchEach for every instance that is heard, so that
-	// some instance of the fleet renews one about twice a second, and the others learn of what it finds.
-	watchEach = 500 * time.Millisecond
-	// watchLeast and watchMost bound the time until a watch is renewed.
-	watchLeast = time.Second
-	watchMost  = 10 * time.Second
+	// watchWait is the time until a watch is renewed, because it may have gone deaf. The instances that watch take turns,
+	// so that one of them renews its watch in each third of that time, and the others learn of what it finds: a change
+	// has to be in force within two seconds.
+	watchWait = watchers * 400 * time.Millisecond
+	// membersWait is the same for the list of instances, which other instances tell as well.
+	membersWait = 10 * time.Second
+	// askPeers is how long a process that starts waits for another instance's copy before it asks the store.
+	askPeers = 150 * time.Millisecond
+	// idle is how often an instance that does not watch the store looks whether it has to.
+	idle = 100 * time.Millisecond
 	// relistLeast and relistMost bound the pause after a failed call to the store.
 	relistLeast = 60 * time.Millisecond
 	relistMost  = 700 * time.Millisecond
@@ -49,8 +54,9 @@
 	store      Store
 	log        logr.Logger
 	out        chan<- update
-	// heard returns the number of instances that are heard, this one included.
-	heard func() int
+	watching   *atomic.Int64 // number of this instance among those that watch the store, or -1
+	lostAll    *atomic.Int64 // number of feeds that have lost the store
+	known      *atomic.Int64 // revision of the mirror, which other instances' copies raise; 0 before it is known
 
 	rev      core.Revision
 	listed   bool
@@ -62,7 +68,15 @@
 func (f *feed) run(ctx context.Context) {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = relistLeast, relistMost
+	pause(ctx, askPeers)
 	for ctx.Err() == nil {
+		if rev := core.Revision(f.known.Load()); rev > f.rev {
+			f.rev, f.listed = rev, true
+		}
+		if f.listed && f.lost.IsZero() && f.watching.Load() < 0 {
+			pause(ctx, idle)
+			continue
+		}
 		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -73,6 +87,7 @@
 		case err != nil:
 			if f.lost.IsZero() {
 				f.lost = time.Now()
+				f.lostAll.Add(1)
 				f.log.Info("store lost", "collection", f.collection.String(), "revision", f.rev, "cause", err.Error())
 			}
 			f.listed = f.listed && f.collection != Endpoints
@@ -83,6 +98,7 @@
 				now := time.Now()
 				f.log.Info("store regained", "collection", f.collection.String(), "revision", f.rev, "away", now.Sub(f.lost).String())
 				f.lost = time.Time{}
+				f.lostAll.Add(-1)
 			}
 			if d := batch[f.collection]; d > 0 {
 				// Spreads the calls of the instances.
@@ -97,7 +113,7 @@
 	u := update{collection: f.collection, from: "store"}
 	var err error
 	if f.listed {
-		u.items, u.rev, err = f.store.Watch(ctx, f.collection, f.rev, f.wait())
+		u.items, u.rev, err = f.store.Watch(ctx, f.collection, f.rev, f.wait(time.Now()))
 	} else {
 		u.whole = true
 		u.items, u.rev, err = f.store.List(ctx, f.collection)
@@ -121,13 +137,17 @@
 	return nil
 }
 
-// wait returns how long the next watch waits. It varies, so that the instances do not renew theirs together.
-func (f *feed) wait() time.Duration {
+// wait returns how long the next watch waits: until this instance's turn to renew it, by the time of day.
+func (f *feed) wait(now time.Time) time.Duration {
 	if f.collection == Members {
-		return watchMost
+		return membersWait
+	}
+	turn := watchWait / watchers * time.Duration(max(f.watching.Load(), 0))
+	d := turn - time.Duration(now.UnixNano())%watchWait
+	for d < watchWait/2 {
+		d += watchWait
 	}
-	d := min(max(watchEach*time.Duration(f.heard()), watchLeast), watchMost)
-	return d*3/4 + rand.N(d/2)
+	return d
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,17 +71,21 @@
 	mesh    *mesh.Mesh
 	metrics metrics.Registry
 	view    atomic.Pointer[front.View]
-	copies  [collections]atomic.Pointer[wire.Copy]
+	copies  [collections]atomic.Pointer[shared]
 	ready   atomic.Bool
 	leaving atomic.Bool
 	// recording tells that a record of the use of workspaces is being written.
 	recording atomic.Bool
 	updates   chan update
 	heard     chan wire.Digest
-	peers     atomic.Int64 // instances heard, this one included
-	cancel    context.CancelFunc
-	running   sync.WaitGroup
-	servers   []*http.Server
+	// watching is the number of this instance among those that watch the store, or -1, and lost the number of collections
+	// that it cannot read there.
+	watching atomic.Int64
+	lost     atomic.Int64
+	revs     [collections]atomic.Int64 // revisions of the mirrors
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	servers  []*http.Server
 
 	// The fields below belong to the control goroutine.
 	mirrors  [collections]*mirror.Mirror
@@ -150,7 +154,7 @@
 		g.control(ctx)
 	}()
 	for c := range collections {
-		f := &feed{collection: c, store: o.Store, log: g.log, out: g.updates, heard: func() int { return int(g.peers.Load()) }}
+		f := &feed{collection: c, store: o.Store, log: g.log, out: g.updates, watching: &g.watching, lostAll: &g.lost, known: &g.revs[c]}
 		g.running.Add(1)
 		go func() {
 			defer g.running.Done()
@@ -210,12 +214,38 @@
 // Ready reports whether the instance takes requests.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
 
+// shared is this instance's copy of a collection, for others.
+type shared struct {
+	whole    *wire.Copy
+	gone     []mirror.Item
+	complete int // revision since which gone has all removals
+}
+
+// after returns the whole copy, or what has changed after a revision.
+func (s *shared) after(rev int) wire.Copy {
+	if rev == 0 || rev < s.complete {
+		return *s.whole
+	}
+	c := wire.Copy{Revision: s.whole.Revision, Partial: true, Items: []wire.Item{}}
+	for _, it := range s.whole.Items {
+		if it.Revision > rev {
+			c.Items = append(c.Items, it)
+		}
+	}
+	for _, it := range s.gone {
+		if int(it.Revision) > rev {
+			c.Gone = append(c.Gone, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: json.RawMessage("null")})
+		}
+	}
+	return c
+}
+
 // copy returns this instance's copy of a collection for another one.
-func (g *Gateway) copy(name string) (wire.Copy, bool) {
+func (g *Gateway) copy(name string, after int) (wire.Copy, bool) {
 	for c := range collections {
 		if c.String() == name {
 			if p := g.copies[c].Load(); p != nil {
-				return *p, true
+				return p.after(after), true
 			}
 		}
 	}
@@ -265,7 +295,7 @@
 	}
 	heard, all := g.members.count(now)
 	g.budgets.fleet(heard, all)
-	g.peers.Store(int64(heard))
+	g.watching.Store(int64(g.members.watches(now)))
 	for _, m := range g.members.byName {
 		if silent := now.Sub(m.heard) > heardWithin; silent != m.silent && (silent || !m.heard.IsZero()) {
 			m.silent = silent
@@ -285,6 +315,7 @@
 	d := wire.Digest{
 		From: string(g.o.Settings.Name), Address: g.o.Settings.Mesh, Start: int(g.start.UnixMilli()), Number: g.number,
 		Routes: int(g.mirrors[Configurations].Changed()), Entries: int(g.mirrors[Endpoints].Changed()), Leaving: g.leaving.Load(),
+		Members: int(g.mirrors[Members].Changed()), Blind: g.lost.Load() > 0,
 	}
 	for s, p := range g.pools {
 		loads, waiting := p.Loads()
@@ -339,8 +370,9 @@
 		Start: time.UnixMilli(m.start), Used: lo.MapKeys(d.Used, id), Total: lo.MapKeys(d.Total, id),
 	})
 	g.budgets.mu.Unlock()
-	g.compare(ctx, now, Configurations, m, m.routes)
-	g.compare(ctx, now, Endpoints, m, m.entries)
+	for c := range collections {
+		g.compare(ctx, now, c, m, m.changed[c])
+	}
 }
 
 // compare fetches another instance's copy of a collection if it is newer for longer than a watch usually takes.
@@ -351,23 +383,31 @@
 	if g.behind[c].IsZero() {
 		g.behind[c] = now
 	}
-	if g.mirrors[c].Known() && now.Sub(g.behind[c]) < behind+batch[c]*2 || g.fetching[c] {
+	// An instance that watches the store will hear of the change itself, unless its watch has gone deaf.
+	if g.watching.Load() >= 0 && g.mirrors[c].Known() && now.Sub(g.behind[c]) < behind+batch[c]*2 || g.fetching[c] {
 		return
 	}
 	g.fetching[c] = true
 	address := m.Address
+	after := 0
+	if g.mirrors[c].Known() {
+		after = int(g.mirrors[c].Revision())
+	}
 	g.running.Add(1)
 	go func() {
 		defer g.running.Done()
 		u := update{collection: c, whole: true, from: string(m.Name)}
-		w, err := g.mesh.Fetch(ctx, address, c.String())
+		w, err := g.mesh.Fetch(ctx, address, c.String(), after)
 		if err != nil {
 			g.log.Info("copy not fetched", "collection", c.String(), "from", m.Name, "cause", err.Error())
 		} else {
-			u.rev = core.Revision(w.Revision)
+			u.rev, u.whole = core.Revision(w.Revision), !w.Partial
 			for _, it := range w.Items {
 				u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Body: it.Body})
 			}
+			for _, it := range w.Gone {
+				u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Gone: true})
+			}
 		}
 		select {
 		case g.updates <- u:
@@ -392,6 +432,7 @@
 	} else {
 		changed = m.Apply(now, u.items, u.rev, u.lapsed)
 	}
+	g.revs[u.collection].Store(int64(m.Revision()))
 	if changed {
 		g.behind[u.collection] = time.Time{}
 		g.rebuild(now, u.collection, u.from)
@@ -406,7 +447,8 @@
 	for _, it := range items {
 		w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
 	}
-	g.copies[c].Store(w)
+	gone, complete := m.Removed()
+	g.copies[c].Store(&shared{whole: w, gone: gone, complete: int(complete)})
 	switch c {
 	case Configurations:
 		g.configure(now, items, from)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -14,6 +14,9 @@
 	heardWithin = 600 * time.Millisecond
 	// retiredAfter is how long an instance must have been silent to be taken as gone for good.
 	retiredAfter = 30 * time.Second
+	// watchers is the number of instances that watch the store, so that the calls to it do not grow with the fleet. More
+	// than one, because a watch may go deaf and an instance may be cut off from the store.
+	watchers = 3
 	// unknownFleet is the number of instances that is assumed before the list of instances is known.
 	unknownFleet = 8
 )
@@ -29,8 +32,8 @@
 	listed  bool // it has an entry in the store
 	since   time.Time
 	silent  bool // a log line has reported that it is not heard
-	routes  core.Revision
-	entries core.Revision
+	blind   bool // the store does not answer it
+	changed [collections]core.Revision
 }
 
 // members holds the other instances. It belongs to the control goroutine.
@@ -65,7 +68,10 @@
 		return e, false
 	}
 	e.start, e.number, e.heard, e.leaving = start, number, now, d.Leaving
-	e.routes, e.entries = core.Revision(d.Routes), core.Revision(d.Entries)
+	e.blind = d.Blind
+	e.changed = [collections]core.Revision{
+		Configurations: core.Revision(d.Routes), Endpoints: core.Revision(d.Entries), Members: core.Revision(d.Members),
+	}
 	return e, true
 }
 
@@ -92,6 +98,21 @@
 	return heard, all
 }
 
+// watches returns this instance's number among those that watch the store for all, the first that are heard and have an
+// answer from it; -1 if it is not one of them.
+func (ms *members) watches(now time.Time) int {
+	before := 0
+	for name, e := range ms.byName {
+		if name < ms.self && !e.heard.IsZero() && now.Sub(e.heard) <= heardWithin && !e.leaving && !e.blind {
+			before++
+		}
+	}
+	if before >= watchers {
+		return -1
+	}
+	return before
+}
+
 // addresses returns where digests are sent. Instances that are silent get them too, so that one that starts again
 // learns of the others without the store.
 func (ms *members) addresses() []*net.UDPAddr {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,8 +32,9 @@
 	Address string // IP:PORT for datagrams and for HTTP
 	// Hear is called with each digest, one at a time.
 	Hear func(d mesh.Digest)
-	// Copy returns this instance's copy of a collection; ok is false if it has none.
-	Copy func(collection string) (c mesh.Copy, ok bool)
+	// Copy returns this instance's copy of a collection, or what has changed in it after a revision; ok is false if it
+	// has none.
+	Copy func(collection string, after int) (c mesh.Copy, ok bool)
 	// Lost is called with errors that concern single messages.
 	Lost func(err error)
 }
@@ -105,7 +107,12 @@
 }
 
 func (m *Mesh) serveCopy(w http.ResponseWriter, r *http.Request) {
-	c, ok := m.o.Copy(r.PathValue("collection"))
+	after, err := strconv.Atoi(r.FormValue("after"))
+	if err != nil {
+		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	c, ok := m.o.Copy(r.PathValue("collection"), after)
 	if !ok {
 		http.Error(w, "no copy", http.StatusNotFound)
 		return
@@ -116,10 +123,10 @@
 	}
 }
 
-// Fetch returns another instance's copy of a collection.
-func (m *Mesh) Fetch(ctx context.Context, address, collection string) (mesh.Copy, error) {
+// Fetch returns another instance's copy of a collection, or what has changed in it after a revision.
+func (m *Mesh) Fetch(ctx context.Context, address, collection string, after int) (mesh.Copy, error) {
 	var c mesh.Copy
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/copy/"+collection, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/copy/"+collection+"?after="+strconv.Itoa(after), nil)
 	if err != nil {
 		return c, errors.WithStack(err)
 	}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -4,24 +4,36 @@
 
 import "encoding/json"
 
-// Copy is an instance's copy of a collection as of Revision.
+// Copy is an instance's copy of a collection as of Revision. If Partial, Items are
+// those that changed after the revision that was asked for, and Gone those that
+// were removed.
 type Copy struct {
+	// Gone corresponds to the JSON schema field "gone".
+	Gone []Item `json:"gone,omitempty,omitzero"`
+
 	// Items corresponds to the JSON schema field "items".
 	Items []Item `json:"items"`
 
+	// Partial corresponds to the JSON schema field "partial".
+	Partial bool `json:"partial,omitempty,omitzero"`
+
 	// Revision corresponds to the JSON schema field "revision".
 	Revision int `json:"revision"`
 }
 
 // Digest is the state of an instance. Start is the time at which its process
-// started, in Unix milliseconds; Number counts its digests. Routes and Entries are
-// the revisions of its configuration and endpoint list. Used is the units that the
-// sender has used for each workspace since its start; Total is those of all
-// instances in the last window, as far as it knows.
+// started, in Unix milliseconds; Number counts its digests. Routes, Entries and
+// Members are the revisions of its configuration, its list of endpoints and its
+// list of instances. Blind tells that the store does not answer it. Used is the
+// units that the sender has used for each workspace since its start; Total is
+// those of all instances in the last window, as far as it knows.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// Blind corresponds to the JSON schema field "blind".
+	Blind bool `json:"blind,omitempty,omitzero"`
+
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
@@ -31,6 +43,9 @@
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Members corresponds to the JSON schema field "members".
+	Members int `json:"members,omitempty,omitzero"`
+
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
