--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -331,13 +331,16 @@
 	r := g.budgets.ledger.Report(now)
 	g.budgets.mu.Unlock()
 	name := func(_ float64, id core.WorkspaceID) string { return string(id) }
-	d.Used, d.Total = lo.MapKeys(r.Used, name), lo.MapKeys(r.Total, name)
+	d.Used = lo.MapKeys(r.Used, name)
+	if g.members.young(now, g.o.Settings.QuotaWindow) {
+		d.Total = lo.MapKeys(r.Total, name)
+	}
 	b, err := json.Marshal(d)
 	if err != nil {
 		g.log.Error(err, "encode a digest")
 		return
 	}
-	for _, a := range g.members.addresses() {
+	for _, a := range g.members.addresses(g.o.Settings.Centre, g.number) {
 		if err := g.mesh.Send(b, a); err != nil {
 			metrics.GetOrRegisterCounter("digest.unsent", g.metrics).Inc(1)
 		}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -46,6 +46,9 @@
 func (ms *members) get(now time.Time, m Member) (*member, error) {
 	e := ms.byName[m.Name]
 	if e != nil && e.Address == m.Address {
+		if m.Centre != "" {
+			e.Centre = m.Centre
+		}
 		return e, nil
 	}
 	udp, err := net.ResolveUDPAddr("udp4", m.Address)
@@ -98,6 +101,16 @@
 	return heard, all
 }
 
+// young reports whether an instance that is heard started less than a time ago.
+func (ms *members) young(now time.Time, d time.Duration) bool {
+	for _, e := range ms.byName {
+		if now.Sub(e.heard) <= heardWithin && now.UnixMilli()-e.start < d.Milliseconds() {
+			return true
+		}
+	}
+	return false
+}
+
 // watches returns this instance's number among those that watch the store for all, the first that are heard and have an
 // answer from it; -1 if it is not one of them.
 func (ms *members) watches(now time.Time) int {
@@ -113,11 +126,18 @@
 	return before
 }
 
-// addresses returns where digests are sent. Instances that are silent get them too, so that one that starts again
+// remoteRound is the number of digests of which an instance in another data centre gets one, in fleets of more than
+// digestFleet instances: bytes between data centres have a price.
+const remoteRound = 2
+
+// addresses returns where a digest is sent. Instances that are silent get them too, so that one that starts again
 // learns of the others without the store.
-func (ms *members) addresses() []*net.UDPAddr {
+func (ms *members) addresses(centre core.DataCentre, number int) []*net.UDPAddr {
 	out := make([]*net.UDPAddr, 0, len(ms.byName))
 	for _, e := range ms.byName {
+		if len(ms.byName) >= digestFleet && e.Centre != centre && number%remoteRound != 0 {
+			continue
+		}
 		out = append(out, e.udp)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].String() < out[j].String() })
