Wait for endpoints that are busy, not dead

Ruled out: connections; the endpoints were answering other requests of the same instance. Change: an attempt is ended for its silence only if the endpoint has sent nothing to this instance since, after 0.65 s instead of 0.4 s, and only if a repeat is allowed.

--- a/core/pool/account.go
+++ b/core/pool/account.go
@@ -46,6 +46,7 @@
 	samples int     // first events seen
 	step    average // nanoseconds between events
 
+	heard     time.Time // when it last sent a part of a response to this instance
 	failures  float64
 	suspended time.Time
 	strikes   int
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -199,10 +199,19 @@
 		return
 	}
 	g.started = true
+	g.acct.heard = now
 	g.acct.reading -= g.work.Prompt
 	p.model.first(g.acct, g.ahead, now.Sub(g.sent))
 }
 
+// Heard reports whether the endpoint of a grant has begun or ended another response since the request was sent. Then it
+// is busy, not dead.
+func (p *Pool) Heard(g *Grant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return g.acct.heard.After(g.sent)
+}
+
 // Pace records the mean time between events of a stream.
 func (p *Pool) Pace(g *Grant, events int, d time.Duration) {
 	if events <= 0 {
@@ -227,6 +236,7 @@
 	}
 	a.judge(now, o)
 	if o == Served {
+		a.heard = now
 		p.served.add(now, now.Sub(g.sent))
 	}
 	p.assign(now)
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,9 +20,10 @@
 	// it arrives.
 	wholeLimit = 1 << 20
 	// patienceFactor and patienceLeast bound the wait for a response that another endpoint could give: a multiple of
-	// what the pool predicts, and no less than the time within which most slow responses arrive.
+	// what the pool predicts, and no less than a third of the time after which callers leave. At 400 ms, busy endpoints
+	// were taken for dead ones in every burst.
 	patienceFactor = 4
-	patienceLeast  = 400 * time.Millisecond
+	patienceLeast  = 650 * time.Millisecond
 	// silence is the pause within a stream after which another endpoint continues it. Callers abandon a stream after
 	// two seconds or more.
 	silence = 1200 * time.Millisecond
@@ -45,8 +47,10 @@
 	outcome pool.Outcome
 	resp    *endpoint.Response
 	started time.Time
-	// impatient cancels the attempt if no response begins; nil if no other endpoint may be asked.
+	// impatient ends the attempt if no response begins; nil if no other endpoint may be asked.
 	impatient *time.Timer
+	// paid tells that the repeat after an attempt that was ended for its silence has been counted.
+	paid atomic.Bool
 }
 
 // attempt sends the request to an endpoint and passes the response on. It reports whether the request is to be sent to
@@ -59,7 +63,14 @@
 	a := &attempt{x: x, ctx: ctx, grant: g, outcome: pool.Cancelled, started: time.Now()}
 	defer func() { x.pool.Done(time.Now(), g, a.outcome) }()
 	if patience := x.patience(g); patience > 0 {
-		a.impatient = time.AfterFunc(patience, func() { cancel(errSilent) })
+		a.impatient = time.AfterFunc(patience, func() {
+			// An endpoint that answers others is only busy, and what it has done for this request would be lost.
+			if x.pool.Heard(g) || !x.f.o.Budgets.Repeat(x.service) {
+				return
+			}
+			a.paid.Store(true)
+			cancel(errSilent)
+		})
 		defer a.impatient.Stop()
 	}
 	return a.send()
@@ -188,7 +199,7 @@
 		return x.fail(http.StatusBadGateway, "endpoint failed, attempts exhausted"), false
 	case time.Until(x.deadline) < useless:
 		return x.fail(http.StatusGatewayTimeout, "deadline"), false
-	case !x.f.o.Budgets.Repeat(x.service):
+	case !a.paid.Load() && !x.f.o.Budgets.Repeat(x.service):
 		return x.fail(http.StatusBadGateway, "endpoint failed, repeats exhausted"), false
 	}
 	return result{reason: "endpoint failed"}, true
