--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -79,7 +79,11 @@
 				continue
 			}
 			kept = append(kept, t)
-		case *Grant, Refusal:
+		case Refusal:
+			d.State = p.state(now)
+			t.done = true
+			t.Decided <- d
+		case *Grant:
 			t.done = true
 			t.Decided <- d
 		}
@@ -178,7 +182,7 @@
 func (p *Pool) grant(now time.Time, a *account, t *Ticket) *Grant {
 	first, _ := p.model.expect(a, &t.work)
 	g := &Grant{
-		Endpoint: a.Endpoint, Expected: first, Waiting: len(p.queue) - 1, Running: a.total(),
+		Endpoint: a.Endpoint, Expected: first, Running: a.total(), State: p.state(now),
 		acct: a, work: t.work, sent: now, ahead: a.backlog() + t.work.Prompt,
 	}
 	if a.strikes > 0 {
@@ -201,13 +205,23 @@
 func (p *Pool) Free(now time.Time) (free, slots int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := p.state(now)
+	return s.Free, s.Slots
+}
+
+// state describes the pool for logs.
+func (p *Pool) state(now time.Time) State {
+	s := State{Waiting: len(p.queue), Peers: len(p.peers)}
 	for _, a := range p.order {
 		if a.open(now) {
-			free += max(a.free(), 0)
-			slots += a.Slots
+			s.Free += max(a.free(), 0)
+			s.Slots += a.Slots
 		}
 	}
-	return free, slots
+	for _, r := range p.peers {
+		s.Age = max(s.Age, now.Sub(r.at))
+	}
+	return s
 }
 
 // Endpoint returns the entry of an endpoint if it is listed.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -50,6 +50,17 @@
 type Refusal struct {
 	Retry  time.Duration
 	Reason string
+	State  State
+}
+
+// State is what a decision was based on.
+type State struct {
+	Waiting int // requests that wait here
+	Free    int // slots of open endpoints that no known request uses
+	Slots   int // slots of open endpoints
+	Peers   int // instances whose reports count
+	// Age is the age of the oldest of these reports.
+	Age time.Duration
 }
 
 // Grant is the right to send one request to an endpoint. It ends with Pool.Done.
@@ -57,8 +68,9 @@
 	Endpoint Endpoint
 	// Expected is the time to the first event that the pool predicts.
 	Expected time.Duration
-	// Waiting is the number of requests that waited here when the grant was made, and Running the load of the endpoint.
-	Waiting, Running int
+	// Running is the load of the endpoint when the grant was made.
+	Running int
+	State   State
 
 	acct    *account
 	work    Work
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -152,6 +152,8 @@
 	}{
 		{"one broken response", []pool.Outcome{pool.Broken}, true},
 		{"three in a row", []pool.Outcome{pool.Broken, pool.Broken, pool.Broken}, false},
+		{"one rejection", []pool.Outcome{pool.Rejected}, true},
+		{"three rejections in a row", []pool.Outcome{pool.Rejected, pool.Rejected, pool.Rejected}, false},
 		{"refused connection", []pool.Outcome{pool.Unreachable}, false},
 		{"other endpoint at the address", []pool.Outcome{pool.Moved}, false},
 		{"callers that leave", []pool.Outcome{pool.Cancelled, pool.Cancelled, pool.Cancelled, pool.Cancelled}, true},
--- a/instance/metrics_test.go
+++ b/instance/metrics_test.go
@@ -28,13 +28,13 @@
 	return string(b)
 }
 
-// Guards against metrics that operations.md does not explain, and against explained ones that do not exist.
+// Guards against metrics that OPERATIONS.md does not explain, and against explained ones that do not exist.
 func TestMetricsAreDocumented(t *testing.T) {
 	g := NewWithT(t)
 	f, key := start(t)
 	f.Client(0, key, "").Chat(context.Background(), draft(), 0)
 	f.Client(0, "wrong", "").Chat(context.Background(), draft(), 0)
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	var patterns []*regexp.Regexp
 	text := exposition(t, f)
@@ -54,6 +54,6 @@
 		for _, p := range patterns {
 			known = known || p.MatchString(n[1])
 		}
-		g.Expect(known).To(BeTrue(), "%s is not in docs/operations.md", n[1])
+		g.Expect(known).To(BeTrue(), "%s is not in docs/OPERATIONS.md", n[1])
 	}
 }
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -492,7 +492,7 @@
 Certificates are replaced without a restart: write the new files in place of the old ones. Each instance reads them every
 2 s and when connections are made, and uses new ones for new connections once two readings, at least 1 s apart, have
 found the same complete and matching files. Until then, and while they cannot be used, the old ones stay in force; the
-log and `+"`tls_failures_total`"+` show why (see [operations.md](operations.md)).
+log and `+"`tls_failures_total`"+` show why (see [OPERATIONS.md](OPERATIONS.md)).
 
 The hash of a key is printed by `+"`printf %%s \"$KEY\" | sha256sum`"+`.
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -138,7 +138,8 @@
 	service route.Service
 	pool    *pool.Pool
 	body    []byte
-	units   float64   // of the workspace's quota
+	cost    float64   // in units of the workspace's quota
+	units   float64   // of them that are counted
 	taken   time.Time // when they were counted
 
 	arrived, deadline time.Time
@@ -152,6 +153,10 @@
 	first    time.Time         // when the response or its first event was passed on
 	endpoint core.EndpointID
 	waited   time.Duration
+	expected time.Duration // to the first event, as the pool predicted
+	running  int           // load of the endpoint when it was chosen
+	state    pool.State    // of the pool at the last decision
+	retry    time.Duration // told to the caller
 	cause    error
 }
 
@@ -185,6 +190,7 @@
 		x.f.o.Budgets.Return(x.taken, x.ws.ID, x.units)
 		x.units = 0
 	}
+	x.retry = retry
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	return x.fail(status, reason)
 }
@@ -233,11 +239,11 @@
 		return x.refuse(http.StatusServiceUnavailable, "no endpoints", unconfigured)
 	}
 	if x.ws != nil {
-		units := x.ws.Quota.Cost(x.call.Prompt+x.call.Output, x.call.Stated)
-		if wait, ok := x.f.o.Budgets.Take(x.ws.ID, units); !ok {
+		x.cost = x.ws.Quota.Cost(x.call.Prompt+x.call.Output, x.call.Stated)
+		if wait, ok := x.f.o.Budgets.Take(x.ws.ID, x.cost); !ok {
 			return x.refuse(http.StatusTooManyRequests, "quota", wait)
 		}
-		x.units, x.taken = units, time.Now()
+		x.units, x.taken = x.cost, time.Now()
 	}
 	return x.run()
 }
@@ -350,8 +356,10 @@
 				x.f.o.Budgets.Move(x.taken, x.ws.ID, x.units)
 				x.taken = now
 			}
+			x.state, x.expected, x.running = d.State, d.Expected, d.Running
 			return d, result{}
 		case pool.Refusal:
+			x.state = d.State
 			return nil, x.unserved(d.Reason, d.Retry)
 		}
 	case <-x.r.Context().Done():
--- a/io/front/record.go
+++ b/io/front/record.go
@@ -51,9 +51,18 @@
 		values = append(values, "workspace", x.ws.ID)
 	}
 	if x.endpoint != "" {
-		values = append(values, "endpoint", x.endpoint, "sent", x.sent, "ran", x.ran)
+		values = append(values, "endpoint", x.endpoint, "sent", x.sent, "ran", x.ran, "running", x.running, "expected", ms(x.expected))
+	}
+	if x.cost > 0 {
+		values = append(values, "units", x.cost)
+	}
+	if x.state.Slots > 0 {
+		values = append(values, "wait", ms(x.waited), "waiting", x.state.Waiting, "free", x.state.Free, "slots", x.state.Slots,
+			"peers", x.state.Peers, "age", ms(x.state.Age))
+	}
+	if x.retry > 0 {
+		values = append(values, "retry", ms(x.retry))
 	}
-	values = append(values, "wait", ms(x.waited))
 	if !x.first.IsZero() {
 		s.first.Update(x.first.Sub(x.arrived))
 		values = append(values, "first", ms(x.first.Sub(x.arrived)))
