--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -28,7 +28,7 @@
 
 // gatewayCmd runs one instance on the users' platform.
 type gatewayCmd struct {
-	Settings string `type:"path" predictor:"file" help:"Settings file of the platform; default: the path in MONSOONDALE_BOOT."`
+	Settings string `type:"path" predictor:"file" help:"Settings file of the platform; default: the one that the platform names in the environment."`
 }
 
 // Run starts the gateway. SIGTERM begins a graceful shutdown; SIGHUP reads the settings again.
