Reset given-up requests; end connections while many are open

Change: responses end their connections while more than 40% of the limit are open, and the limit is 70% of the descriptors instead of 40%.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,8 +46,11 @@
 	// memoryShare is the part of the memory limit that the runtime's heap may use; the rest is for stacks, buffers of
 	// the kernel and the program itself.
 	memoryShare = 0.6
-	// descriptorShare is the part of the descriptors that connections of callers may use.
-	descriptorShare = 0.4
+	// descriptorShare is the part of the descriptors that connections of callers may use; the rest is for endpoints.
+	descriptorShare = 0.7
+	// crowdedShare is the part of that from which responses end their connections. Otherwise unused connections take all
+	// descriptors when one instance serves the callers of others, and new callers wait unheard.
+	crowdedShare = 0.4
 )
 
 // Options configures a Gateway.
@@ -203,7 +206,9 @@
 			ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10,
 		}
 		if l.callers {
-			ln = netutil.LimitListener(ln, max(int(descriptorShare*float64(s.Descriptors)), 1))
+			most := max(int(descriptorShare*float64(s.Descriptors)), 1)
+			ln = netutil.LimitListener(ln, most)
+			srv.ConnState = g.front.Track(int(crowdedShare * float64(most)))
 		}
 		g.servers = append(g.servers, srv)
 		go srv.Serve(ln) // ends with Shutdown or Close
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -284,7 +284,11 @@
 		return
 	}
 	r.closed = true
-	if !r.stop() || !r.whole || r.conn.r.Buffered() > 0 || !r.reusable() {
+	if !r.stop() || !r.whole {
+		r.conn.reset()
+		return
+	}
+	if r.conn.r.Buffered() > 0 || !r.reusable() {
 		r.conn.Close()
 		return
 	}
@@ -295,6 +299,15 @@
 	r.c.keep(r.address, r.conn, lifetime(r.Header))
 }
 
+// reset closes a connection and discards what has not reached the endpoint, which must not run a request that has been
+// given up.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.SetLinger(0) // fails only on connections that are gone
+	}
+	c.Close()
+}
+
 // reusable reports whether the connection can serve another request: the request was sent in full and neither side
 // asked for an end.
 func (r *Response) reusable() bool {
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -170,3 +171,25 @@
 	g.Expect(err).ToNot(HaveOccurred())
 	g.Expect(reused).To(BeFalse())
 }
+
+// Guards against a request that reaches an endpoint after its caller has left: bytes that the network holds back are
+// delivered even after the connection was closed, unless it is reset.
+func TestAbandonedRequestsAreReset(t *testing.T) {
+	g := NewWithT(t)
+	ends := make(chan error, 1)
+	address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			ends <- err
+			return
+		}
+		_, err := r.ReadByte()
+		ends <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := endpoint.New(endpoint.Options{Echo: "Echo"}).Do(ctx, address, endpoint.Request{ID: "r", Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	var end error
+	g.Eventually(ends, "2s").Should(Receive(&end))
+	g.Expect(errors.Is(end, syscall.ECONNRESET)).To(BeTrue(), "%v", end)
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -108,6 +109,8 @@
 	leaving  atomic.Bool
 	refusing atomic.Bool
 	active   atomic.Int64
+	open     atomic.Int64 // connections of callers
+	crowded  atomic.Int64 // number of open connections from which they are not kept; 0 for none
 	stats    stats
 }
 
@@ -122,6 +125,19 @@
 // Refuse makes the front refuse new requests, so that callers go to another instance.
 func (f *Front) Refuse() { f.refusing.Store(true) }
 
+// Track returns a hook for the server that counts connections. While more than crowded are open, responses end theirs.
+func (f *Front) Track(crowded int) func(net.Conn, http.ConnState) {
+	f.crowded.Store(int64(max(crowded, 1)))
+	return func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			f.open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			f.open.Add(-1)
+		}
+	}
+}
+
 // Active returns the number of requests in progress.
 func (f *Front) Active() int { return int(f.active.Load()) }
 
@@ -166,7 +182,7 @@
 	defer f.active.Add(-1)
 	x := &exchange{f: f, w: w, r: r, rc: http.NewResponseController(w), call: f.o.Dialect.Call(r.Header), view: f.o.View(), arrived: time.Now()}
 	x.last = x.call.LastEvent
-	if f.leaving.Load() {
+	if most := f.crowded.Load(); f.leaving.Load() || most > 0 && f.open.Load() > most {
 		w.Header().Set("Connection", "close")
 	}
 	result := x.serve()
