--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// durationShare is the part of the predicted duration after the first event that counts in the choice of an endpoint,
+	// of which 1/3 served scale days worse.
+	durationShare = 1.0 / 8
 	// remote is the time by which an endpoint of the own data centre is preferred over a faster one elsewhere. Bytes
 	// between data centres cost money, and the hop costs a few milliseconds.
 	remote = 8 * time.Millisecond
@@ -168,7 +171,7 @@
 // score is lower for better endpoints.
 func (p *Pool) score(now time.Time, a *account, w *Work) time.Duration {
 	first, last := p.model.expect(a, w)
-	s := first + (last-first)/8 + time.Duration(a.failures*float64(doubt))
+	s := first + time.Duration(durationShare*float64(last-first)) + time.Duration(a.failures*float64(doubt))
 	if a.Centre != p.o.Centre {
 		s += remote
 	}
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -225,8 +225,7 @@
 	)
 	draft, check := r["draft"], r["check"]
 	t.Logf("draft %+v, check %+v", *draft, *check)
-	// The urgent kind is served on time at least as often; the other one is not starved: no kind may be served less than
-	// a quarter as often as all requests.
+	// The less urgent kind must not be starved: the limit is a quarter of the share of all requests.
 	urgent, other := share(draft.ontime, draft.asked), share(check.ontime, check.asked)
 	g.Expect(urgent).To(BeNumerically(">=", 0.9))
 	g.Expect(other).To(BeNumerically(">", share(draft.ontime+check.ontime, draft.asked+check.asked)/4))
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -29,13 +29,8 @@
 // for all endpoints of a pool but for a factor for each. The line is fitted by least squares with exponential decay.
 type model struct {
 	n, x, y, xx, xy float64
-	rate            pace // arrivals
 }
 
-func newModel() model { return model{} }
-
-func (m *model) arrival(now time.Time) { m.rate.add(now, 0) }
-
 // line returns the constant and the slope of the fit, in nanoseconds and nanoseconds a token.
 func (m *model) line() (constant, slope float64) {
 	if m.n < 5 {
@@ -83,17 +78,18 @@
 	return time.Duration(f), time.Duration(f + step*float64(w.Output)/eventTokens)
 }
 
-// pace measures how often something happens, and the mean of a duration that comes with it.
+// paceWeight is the weight of the newest gap in a pace; about the last 20 count.
+const paceWeight = 0.05
+
+// pace measures how often something happens.
 type pace struct {
 	last time.Time
 	gap  average
-	took average
 }
 
-func (p *pace) add(now time.Time, d time.Duration) {
+func (p *pace) add(now time.Time) {
 	if !p.last.IsZero() {
-		p.gap.add(float64(now.Sub(p.last)), 0.05)
+		p.gap.add(float64(now.Sub(p.last)), paceWeight)
 	}
 	p.last = now
-	p.took.add(float64(d), 0.05)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -122,6 +122,9 @@
 	Seed uint64
 }
 
+// stepWeight is the weight of the newest stream in an endpoint's time between events.
+const stepWeight = 0.2
+
 // Pool schedules the requests of one service. It is safe for concurrent use.
 type Pool struct {
 	mu       sync.Mutex
@@ -136,7 +139,7 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]report{}, model: newModel()}
+	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]report{}}
 }
 
 // List replaces the list of endpoints. Requests at endpoints that are no longer listed run on.
@@ -170,7 +173,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := &Ticket{Decided: make(chan Decision, 1), work: w}
-	p.model.arrival(now)
 	p.enqueue(t)
 	p.assign(now)
 	return t
@@ -231,7 +233,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.acct.step.add(float64(d)/float64(events), 0.2)
+	g.acct.step.add(float64(d)/float64(events), stepWeight)
 }
 
 // Done ends a grant.
@@ -249,7 +251,7 @@
 	a.judge(now, o)
 	if o == Served {
 		a.heard = now
-		p.served.add(now, now.Sub(g.sent))
+		p.served.add(now)
 	}
 	p.assign(now)
 }
