Instances tell each other response times and failures

Change: digests carry the responses that began (prompt tokens ahead, time) and the endpoints that broke a request. Failures count within a data centre, and probes of suspended endpoints are spread. A request takes a random place among those that others have sent since their last reports, each of which is taken to have gone to the best endpoint.

--- a/core/pool/account.go
+++ b/core/pool/account.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"monsoondale/core"
@@ -19,6 +20,9 @@
 	// suspendFirst and suspendMost bound a suspension; each one in a row is twice as long.
 	suspendFirst = 500 * time.Millisecond
 	suspendMost  = 8 * time.Second
+	// suspendSpread is the part of a suspension over which the probes of instances are spread that learned of the
+	// failures from others.
+	suspendSpread = 2
 )
 
 // average is an exponentially weighted mean.
@@ -51,6 +55,7 @@
 	suspended time.Time
 	strikes   int
 	probing   bool
+	hearsay   bool // it is suspended for what other instances have seen
 }
 
 func (a *account) total() int { return a.running + a.others.running }
@@ -76,7 +81,11 @@
 	case Cancelled:
 		return
 	case Served:
-		a.strikes = 0
+		a.strikes, a.hearsay = 0, false
+	case Failed:
+		// Marks the endpoint down, but does not suspend it: it works, and others may fail as often.
+		a.failures += failureWeight * (1 - a.failures)
+		return
 	case Unreachable, Rejected, Broken:
 		failed = 1
 	case Moved:
@@ -85,11 +94,33 @@
 		return
 	}
 	a.failures += failureWeight * (failed - a.failures)
-	unreachable := o == Unreachable
-	if failed == 1 && (a.failures > failureLimit || unreachable || a.strikes > 0) && !now.Before(a.suspended) {
-		d := min(suspendFirst<<a.strikes, suspendMost)
-		a.strikes = min(a.strikes+1, 5)
-		a.suspended = now.Add(d)
-		a.failures = failureAfter
+	if failed == 1 && (a.failures > failureLimit || o == Unreachable || a.strikes > 0) && !now.Before(a.suspended) {
+		a.suspend(now, 1)
+		a.hearsay = false
+	}
+}
+
+// suspend closes the endpoint for a time that doubles with each suspension in a row, times a factor.
+func (a *account) suspend(now time.Time, factor float64) {
+	d := min(suspendFirst<<a.strikes, suspendMost)
+	a.strikes = min(a.strikes+1, 5)
+	a.suspended = now.Add(time.Duration(factor * float64(d)))
+	a.failures = failureAfter
+}
+
+// told updates the failure rate by what another instance has seen. Instances that suspend an endpoint for that probe it
+// at different times, so that the others learn the outcome of the first probes instead of making their own.
+func (a *account) told(now time.Time, failed bool) {
+	if !failed {
+		a.failures -= failureWeight * a.failures
+		if a.hearsay {
+			a.strikes, a.hearsay, a.suspended = 0, false, time.Time{}
+		}
+		return
+	}
+	a.failures += failureWeight * (1 - a.failures)
+	if a.strikes == 0 && a.failures > failureLimit || a.hearsay && !now.Before(a.suspended) {
+		a.suspend(now, 1+suspendSpread*rand.Float64())
+		a.hearsay = true
 	}
 }
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -120,10 +121,9 @@
 		return Refusal{Retry: retryLeast, Reason: "deadline"}
 	}
 	free := 0
-	var best *account
-	var bestScore time.Duration
 	listed := false
 	exclude := p.excluded(&t.work)
+	choices := p.choices[:0]
 	for _, a := range p.order {
 		if slices.Contains(exclude, a.ID) {
 			continue
@@ -131,19 +131,14 @@
 		if !a.Leaving {
 			listed = true
 		}
-		if !a.open(now) {
+		if !a.open(now) || a.free() <= 0 {
 			continue
 		}
-		n := a.free()
-		if n <= 0 {
-			continue
-		}
-		free += n
-		s := p.score(now, a, &t.work)
-		if best == nil || s < bestScore {
-			best, bestScore = a, s
-		}
+		free += a.free()
+		choices = append(choices, choice{a, a.free(), p.score(now, a, &t.work)})
 	}
+	p.choices = choices
+	best := p.best(now, choices)
 	if best != nil && (free > p.ahead(t.work.Tier) || t.work.Resumed) {
 		return p.grant(now, best, t)
 	}
@@ -158,6 +153,37 @@
 	return nil
 }
 
+// choice is an endpoint that a request may be sent to.
+type choice struct {
+	*account
+	free  int
+	score time.Duration
+}
+
+// best returns the endpoint for a request, or nil. Other instances have sent requests since their last report, and chose
+// from the same reports. So the request takes a random place among these, each of which is taken to have gone to the
+// endpoint that was best then. Otherwise all would choose the same few endpoints until the next report.
+func (p *Pool) best(now time.Time, choices []choice) *account {
+	for n := rand.N(p.unseen(now) + 1); ; n-- {
+		var c *choice
+		for i := range choices {
+			if o := &choices[i]; o.free > 0 && (c == nil || o.score < c.score) {
+				c = o
+			}
+		}
+		switch {
+		case c == nil && len(choices) == 0:
+			return nil
+		case c == nil:
+			return choices[rand.N(len(choices))].account
+		case n == 0:
+			return c.account
+		}
+		c.free--
+		c.score += p.model.marginal(c.account, core.Tokens(p.prompt.value))
+	}
+}
+
 // excluded returns the endpoints that are not chosen for a request: those that were tried, unless no other is left.
 func (p *Pool) excluded(w *Work) []core.EndpointID {
 	for _, a := range p.order {
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -26,6 +26,7 @@
 // result counts what became of the requests of a kind.
 type result struct {
 	asked, ontime, late, refused, left int
+	rejected, broken                   int           // sendings that ended so; the request was sent again
 	held                               time.Duration // longest wait of a refused request
 }
 
@@ -50,36 +51,51 @@
 // simulation runs instances with a pool each against engines that work on as many requests as they have slots, in
 // simulated time. Digests reach the other instances a little later.
 type simulation struct {
+	fleet
 	now     time.Time
-	queue   events
+	planned events
 	pools   []*pool.Pool
 	running map[core.EndpointID]int
 	waiting map[core.EndpointID][]func()
 	speed   map[core.EndpointID]float64
-	slots   int
+	number  map[core.EndpointID]int
 	rng     *rand.Rand
 	results map[string]*result
 }
 
+// fleet is the instances and engines of a simulation.
+type fleet struct {
+	instances, engines, slots int
+	queue                     int           // requests that wait at an engine, beyond which it rejects; 0 for no limit
+	digest                    time.Duration // between digests
+	// broken tells that an engine breaks every request at a time, in seconds.
+	broken func(engine int, s float64) bool
+}
+
 const (
 	simulatedStep   = 28 * time.Millisecond // between events, of which each has 7 tokens
 	simulatedPrompt = 7 * time.Microsecond  // for each token of a prompt
 	simulatedBase   = 30 * time.Millisecond
-	simulatedDigest = 40 * time.Millisecond
 	abandon         = 2 * time.Second
 )
 
-func simulate(seed uint64, instances, engines, slots int, span time.Duration, kinds ...kind) map[string]*result {
+// small is a fleet of the size of a small firm's.
+func small(engines int) fleet {
+	return fleet{instances: 6, engines: engines, slots: 11, digest: 40 * time.Millisecond}
+}
+
+func simulate(seed uint64, f fleet, span time.Duration, kinds ...kind) map[string]*result {
 	s := &simulation{
-		now: begin, running: map[core.EndpointID]int{}, waiting: map[core.EndpointID][]func(){}, speed: map[core.EndpointID]float64{},
-		slots: slots, rng: rand.New(rand.NewPCG(seed, 1)), results: map[string]*result{},
+		fleet: f, now: begin, running: map[core.EndpointID]int{}, waiting: map[core.EndpointID][]func(){}, speed: map[core.EndpointID]float64{}, number: map[core.EndpointID]int{},
+		rng: rand.New(rand.NewPCG(seed, 1)), results: map[string]*result{},
 	}
-	list := endpoints(engines, slots)
+	list := endpoints(f.engines, f.slots)
 	for i := range list {
 		list[i].Centre = core.DataCentre("abc"[i%3 : i%3+1])
+		s.number[list[i].ID] = i
 		s.speed[list[i].ID] = []float64{1.8, 1, 0.36}[i%3]
 	}
-	for i := range instances {
+	for i := range f.instances {
 		p := pool.New(pool.Options{Centre: core.DataCentre("abc"[i%3 : i%3+1]), Seed: uint64(i) * 977})
 		p.List(begin, list)
 		s.pools = append(s.pools, p)
@@ -89,17 +105,17 @@
 		s.results[k.name] = &result{}
 		s.arrive(k, end)
 	}
-	s.at(0, func() { s.digest(end) })
+	s.at(0, func() { s.digests(end) })
 	s.at(0, func() { s.tick(end) })
-	for s.queue.Len() > 0 {
-		e := heap.Pop(&s.queue).(event)
+	for s.planned.Len() > 0 {
+		e := heap.Pop(&s.planned).(event)
 		s.now = e.at
 		e.do()
 	}
 	return s.results
 }
 
-func (s *simulation) at(d time.Duration, do func()) { heap.Push(&s.queue, event{s.now.Add(d), do}) }
+func (s *simulation) at(d time.Duration, do func()) { heap.Push(&s.planned, event{s.now.Add(d), do}) }
 
 // arrive plans the next request of a kind.
 func (s *simulation) arrive(k kind, end time.Time) {
@@ -114,53 +130,74 @@
 }
 
 func (s *simulation) request(k kind) {
-	r := s.results[k.name]
-	r.asked++
+	s.results[k.name].asked++
 	p := s.pools[s.rng.IntN(len(s.pools))]
-	arrived := s.now
-	n := max(1, int(float64(k.events)*s.rng.ExpFloat64()))
-	t := p.Submit(s.now, pool.Work{
-		Tier: 1, Rank: k.rank, Prompt: k.prompt, Output: core.Tokens(n * 7), Arrived: s.now,
-		Objective: s.now.Add(k.objective), Deadline: s.now.Add(abandon),
-	})
-	s.await(k, p, t, arrived, n)
+	w := pool.Work{
+		Tier: 1, Rank: k.rank, Prompt: k.prompt, Output: core.Tokens(7 * max(1, int(float64(k.events)*s.rng.ExpFloat64()))),
+		Arrived: s.now, Objective: s.now.Add(k.objective), Deadline: s.now.Add(abandon),
+	}
+	s.await(k, p, p.Submit(s.now, w), w)
 }
 
-// await looks at a ticket every few milliseconds, as the gateway does through a channel.
-func (s *simulation) await(k kind, p *pool.Pool, t *pool.Ticket, arrived time.Time, n int) {
-	r := s.results[k.name]
+// await looks at a ticket every millisecond, as the gateway does through a channel.
+func (s *simulation) await(k kind, p *pool.Pool, t *pool.Ticket, w pool.Work) {
 	switch d := decision(t).(type) {
 	case *pool.Grant:
-		s.engine(d.Endpoint.ID, func(first time.Duration, done func()) {
-			s.at(first, func() {
-				p.First(s.now, d)
-				took := s.now.Sub(arrived)
-				switch {
-				case took <= k.objective:
-					r.ontime++
-				case took <= abandon:
-					r.late++
-				default:
-					r.left++
-				}
-				s.at(time.Duration(float64(simulatedStep)*s.speed[d.Endpoint.ID])*time.Duration(n), func() {
-					done()
-					p.Pace(d, n, time.Duration(float64(simulatedStep)*s.speed[d.Endpoint.ID])*time.Duration(n))
-					p.Done(s.now, d, pool.Served)
-				})
-			})
-		}, k.prompt)
+		s.send(k, p, d, w)
 	case pool.Refusal:
+		r := s.results[k.name]
 		r.refused++
-		r.held = max(r.held, s.now.Sub(arrived))
+		r.held = max(r.held, s.now.Sub(w.Arrived))
 	default:
-		s.at(time.Millisecond, func() { s.await(k, p, t, arrived, n) })
+		s.at(time.Millisecond, func() { s.await(k, p, t, w) })
 	}
 }
 
-// engine runs a request in order of arrival once a slot is free.
-func (s *simulation) engine(id core.EndpointID, run func(first time.Duration, done func()), prompt core.Tokens) {
-	begin := func() {
+// send sends a request to an engine, and again elsewhere if that does not serve it.
+func (s *simulation) send(k kind, p *pool.Pool, d *pool.Grant, w pool.Work) {
+	r := s.results[k.name]
+	id := d.Endpoint.ID
+	again := func(count *int, o pool.Outcome) {
+		s.at(3*time.Millisecond, func() {
+			*count++
+			p.Done(s.now, d, o)
+			w.Exclude = append(w.Exclude, id)
+			s.await(k, p, p.Submit(s.now, w), w)
+		})
+	}
+	if s.broken != nil && s.broken(s.number[id], s.now.Sub(begin).Seconds()) {
+		again(&r.broken, pool.Broken)
+		return
+	}
+	step := time.Duration(float64(simulatedStep) * s.speed[id])
+	n := int(w.Output / 7)
+	taken := s.engine(id, w.Prompt, func(first time.Duration, done func()) {
+		s.at(first, func() {
+			p.First(s.now, d)
+			took := s.now.Sub(w.Arrived)
+			switch {
+			case took <= k.objective:
+				r.ontime++
+			case took <= abandon:
+				r.late++
+			default:
+				r.left++
+			}
+			s.at(step*time.Duration(n), func() {
+				done()
+				p.Pace(d, n, step*time.Duration(n))
+				p.Done(s.now, d, pool.Served)
+			})
+		})
+	})
+	if !taken {
+		again(&r.rejected, pool.Rejected)
+	}
+}
+
+// engine runs a request in order of arrival once a slot is free. It reports false if too many wait.
+func (s *simulation) engine(id core.EndpointID, prompt core.Tokens, run func(first time.Duration, done func())) bool {
+	start := func() {
 		s.running[id]++
 		first := time.Duration(s.speed[id] * float64(simulatedBase+simulatedPrompt*time.Duration(prompt)))
 		run(first, func() {
@@ -171,24 +208,28 @@
 			}
 		})
 	}
-	if s.running[id] < s.slots {
-		begin()
-		return
+	switch {
+	case s.running[id] < s.slots:
+		start()
+	case s.queue > 0 && len(s.waiting[id]) >= s.queue:
+		return false
+	default:
+		s.waiting[id] = append(s.waiting[id], start)
 	}
-	s.waiting[id] = append(s.waiting[id], begin)
+	return true
 }
 
-func (s *simulation) digest(end time.Time) {
+func (s *simulation) digests(end time.Time) {
 	for i, p := range s.pools {
-		loads, waiting := p.Loads()
+		r := p.Report()
 		for j, other := range s.pools {
 			if j != i {
-				s.at(3*time.Millisecond, func() { other.Hear(s.now, core.InstanceID(fmt.Sprint(i)), loads, waiting) })
+				s.at(3*time.Millisecond, func() { other.Hear(s.now, core.InstanceID(fmt.Sprint(i)), i%3 == j%3, r) })
 			}
 		}
 	}
 	if s.now.Before(end) {
-		s.at(simulatedDigest, func() { s.digest(end) })
+		s.at(s.fleet.digest, func() { s.digests(end) })
 	}
 }
 
@@ -219,7 +260,7 @@
 // requests as much as its own, and against an urgent kind that leaves nothing to the others.
 func TestFloodOfLeastUrgentKind(t *testing.T) {
 	g := NewWithT(t)
-	r := simulate(1, 6, 9, 11, 12*time.Second,
+	r := simulate(1, small(9), 12*time.Second,
 		kind{"draft", 0, 6600, 40, 400 * time.Millisecond, constant(20)},
 		kind{"check", 2, 1800, 40, 400 * time.Millisecond, burst(20, 10, 3, 12)},
 	)
@@ -235,7 +276,7 @@
 // leave are served, and every later one waits as long. It also guards against callers that are held and then refused.
 func TestBacklogAfterBurst(t *testing.T) {
 	g := NewWithT(t)
-	r := simulate(2, 6, 9, 11, 10*time.Second, kind{"draft", 0, 6600, 50, 400 * time.Millisecond, burst(30, 4, 2, 6)})
+	r := simulate(2, small(9), 10*time.Second, kind{"draft", 0, 6600, 50, 400 * time.Millisecond, burst(30, 4, 2, 6)})
 	d := r["draft"]
 	t.Logf("draft %+v", *d)
 	g.Expect(d.left).To(BeNumerically("<", d.asked/50), "served after their callers had left")
@@ -246,7 +287,7 @@
 // there is room.
 func TestSteadyLoad(t *testing.T) {
 	g := NewWithT(t)
-	r := simulate(3, 6, 18, 11, 15*time.Second,
+	r := simulate(3, small(18), 15*time.Second,
 		kind{"draft", 0, 6600, 55, 400 * time.Millisecond, constant(30)},
 		kind{"dedication", 1, 628, 42, 250 * time.Millisecond, constant(28)},
 		kind{"check", 2, 1800, 3, 250 * time.Millisecond, constant(60)},
@@ -268,3 +309,43 @@
 		grant(g, p.Submit(begin, work(1, begin)))
 	}
 }
+
+// large is a fleet whose instances hear of each other several times less often.
+func large() fleet {
+	return fleet{instances: 60, engines: 60, slots: 11, queue: 4, digest: 200 * time.Millisecond}
+}
+
+// Load: many instances with stale reports. Guards against instances that all choose the engines that looked best in the
+// last reports, which then reject requests while others have room.
+func TestManyInstancesWithStaleReports(t *testing.T) {
+	g := NewWithT(t)
+	r := simulate(4, large(), 6*time.Second,
+		kind{"draft", 0, 6600, 42, 400 * time.Millisecond, constant(200)},
+		kind{"dedication", 1, 628, 32, 250 * time.Millisecond, constant(186)},
+		kind{"check", 2, 1800, 3, 300 * time.Millisecond, constant(411)},
+	)
+	for name, k := range r {
+		t.Logf("%s %+v", name, *k)
+		g.Expect(share(k.rejected, k.asked)).To(BeNumerically("<=", 0.02), name)
+		g.Expect(share(k.ontime, k.asked)).To(BeNumerically(">=", 0.95), name)
+	}
+}
+
+// Load: engines that break every request, in a large fleet where each instance sends them few. Guards against
+// instances that each have to find out alone, and send several requests to each of these engines to do so.
+func TestManyInstancesWithBrokenEngines(t *testing.T) {
+	g := NewWithT(t)
+	f := large()
+	f.broken = func(engine int, s float64) bool { return engine%9 == 2 && s >= 2 && s < 4 }
+	r := simulate(5, f, 8*time.Second,
+		kind{"draft", 0, 6600, 42, 400 * time.Millisecond, constant(100)},
+		kind{"check", 2, 1800, 3, 300 * time.Millisecond, constant(300)},
+	)
+	broken := 0
+	for name, k := range r {
+		t.Logf("%s %+v", name, *k)
+		broken += k.broken
+	}
+	// Seven engines and three data centres: three failures suspend an engine, and two more may be on their way or probe it.
+	g.Expect(broken).To(BeNumerically("<=", 7*3*5))
+}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// modelDecay is the weight that a sample keeps with each later one; about the last 100 count.
-	modelDecay = 0.99
+	// modelDecay is the weight that a sample keeps with each later one; about the last 500 count, which are those of a
+	// few seconds, as instances tell each other theirs.
+	modelDecay = 0.998
 	// speedWeight is the weight of the newest sample in an endpoint's relative speed.
 	speedWeight = 0.15
 	// firstDefault is the time to a first event that is assumed before any was seen.
@@ -78,6 +79,13 @@
 	return time.Duration(f), time.Duration(f + step*float64(w.Output)/eventTokens)
 }
 
+// marginal returns by how much one more request of a number of prompt tokens delays the next one's first event. About
+// half of them are still to be read when that one arrives.
+func (m *model) marginal(a *account, prompt core.Tokens) time.Duration {
+	_, s := m.line()
+	return time.Duration(a.speed * s * float64(prompt) / 2)
+}
+
 // paceWeight is the weight of the newest gap in a pace; about the last 20 count.
 const paceWeight = 0.05
 
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -10,15 +10,25 @@
 // an older one means that the instance is dead or cut off.
 const reportValidity = time.Second
 
+const (
+	// rateWeight is the weight of the newest report in an instance's rate of requests.
+	rateWeight = 0.1
+	// unseenMost bounds the number of requests that are considered when an endpoint is chosen, and with it the time
+	// that takes.
+	unseenMost = 512
+)
+
 type load struct {
 	running int
 	reading core.Tokens
 }
 
-type report struct {
+// heard is what counts of the last report of another instance.
+type heard struct {
 	at      time.Time
 	loads   map[core.EndpointID]Load
 	waiting []int
+	rate    average // responses that begin, per second
 }
 
 // Load is what one instance has at one endpoint.
@@ -28,34 +38,72 @@
 	Reading  core.Tokens // prompt tokens of requests whose response has not begun
 }
 
-// Loads returns this instance's requests at each endpoint that has any, and the number of requests that wait, by tier.
-func (p *Pool) Loads() ([]Load, []int) {
+// Sample is a response that began: how many prompt tokens the endpoint had to read up to the end of the request's
+// prompt, and how long the response took to begin.
+type Sample struct {
+	Endpoint core.EndpointID
+	Ahead    core.Tokens
+	First    time.Duration
+}
+
+// reportSamples bounds the samples and the failures of a report; there are a few in the time between two digests.
+const reportSamples = 32
+
+// Report is what an instance tells the others of a pool.
+type Report struct {
+	Loads   []Load
+	Waiting []int // requests that wait and can be on time, by tier
+	// Samples and Failed are what was seen since the last report: responses that began, and endpoints that broke a
+	// request or could not be reached.
+	Samples []Sample
+	Failed  []core.EndpointID
+}
+
+// Report returns this instance's requests at each endpoint that has any, and what it has seen since the last call.
+func (p *Pool) Report() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []Load
+	r := Report{Samples: p.samples, Failed: p.failed, Waiting: make([]int, core.Tiers)}
+	p.samples, p.failed = nil, nil
 	for _, a := range p.order {
 		if a.running > 0 {
-			out = append(out, Load{Endpoint: a.ID, Running: a.running, Reading: a.reading})
+			r.Loads = append(r.Loads, Load{Endpoint: a.ID, Running: a.running, Reading: a.reading})
 		}
 	}
-	waiting := make([]int, core.Tiers)
 	for _, t := range p.queue {
 		if !t.late {
-			waiting[min(max(t.work.Tier, 0), core.Tiers-1)]++
+			r.Waiting[min(max(t.work.Tier, 0), core.Tiers-1)]++
 		}
 	}
-	return out, waiting
+	return r
 }
 
-// Hear takes over what another instance reports.
-func (p *Pool) Hear(now time.Time, from core.InstanceID, loads []Load, waiting []int) {
+// Hear takes over what another instance reports. Failures count only if it is near, in the same data centre: an endpoint
+// may fail for some callers only.
+func (p *Pool) Hear(now time.Time, from core.InstanceID, near bool, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := report{at: now, loads: make(map[core.EndpointID]Load, len(loads)), waiting: waiting}
-	for _, l := range loads {
-		r.loads[l.Endpoint] = l
+	h := heard{at: now, rate: p.peers[from].rate, loads: make(map[core.EndpointID]Load, len(r.Loads)), waiting: r.Waiting}
+	for _, l := range r.Loads {
+		h.loads[l.Endpoint] = l
+	}
+	if before, ok := p.peers[from]; ok {
+		h.rate.add(float64(len(r.Samples))/max(now.Sub(before.at), time.Millisecond).Seconds(), rateWeight)
+	}
+	p.peers[from] = h
+	for _, s := range r.Samples {
+		if a := p.accounts[s.Endpoint]; a != nil {
+			p.model.first(a, s.Ahead, s.First)
+			if near {
+				a.told(now, false)
+			}
+		}
+	}
+	for _, id := range r.Failed {
+		if a := p.accounts[id]; a != nil && near {
+			a.told(now, true)
+		}
 	}
-	p.peers[from] = r
 	p.sum(now)
 	p.assign(now)
 }
@@ -91,3 +139,12 @@
 	}
 	return n
 }
+
+// unseen returns how many requests other instances are expected to have sent since their last reports.
+func (p *Pool) unseen(now time.Time) int {
+	n := 0.0
+	for _, h := range p.peers {
+		n += h.rate.value * now.Sub(h.at).Seconds()
+	}
+	return min(int(n), unseenMost)
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -88,8 +88,10 @@
 
 // Outcomes.
 const (
-	// Served is a response of the endpoint, whatever its status.
+	// Served is a response of the endpoint, whatever it says of the request.
 	Served Outcome = iota
+	// Failed is a response that states a failure of the endpoint itself.
+	Failed
 	// Cancelled is an end that says nothing about the endpoint, such as a caller that left.
 	Cancelled
 	// Unreachable is a refused or timed out connection; the request did not run.
@@ -103,7 +105,7 @@
 )
 
 func (o Outcome) String() string {
-	return [...]string{"served", "cancelled", "unreachable", "rejected", "broken", "moved"}[o]
+	return [...]string{"served", "failed", "cancelled", "unreachable", "rejected", "broken", "moved"}[o]
 }
 
 // Ticket is a request's place in the queue.
@@ -125,6 +127,9 @@
 // stepWeight is the weight of the newest stream in an endpoint's time between events.
 const stepWeight = 0.2
 
+// promptWeight is the weight of the newest request in the mean number of prompt tokens; about the last 50 count.
+const promptWeight = 0.02
+
 // Pool schedules the requests of one service. It is safe for concurrent use.
 type Pool struct {
 	mu       sync.Mutex
@@ -132,14 +137,18 @@
 	accounts map[core.EndpointID]*account
 	order    []*account // sorted by id
 	queue    []*Ticket  // by precedence
-	peers    map[core.InstanceID]report
+	peers    map[core.InstanceID]heard
 	model    model
 	served   pace
+	samples  []Sample          // since the last report
+	failed   []core.EndpointID // likewise
+	prompt   average           // prompt tokens of a request
+	choices  []choice          // reused by decide
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]report{}}
+	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]heard{}}
 }
 
 // List replaces the list of endpoints. Requests at endpoints that are no longer listed run on.
@@ -172,6 +181,7 @@
 func (p *Pool) Submit(now time.Time, w Work) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.prompt.add(float64(w.Prompt), promptWeight)
 	t := &Ticket{Decided: make(chan Decision, 1), work: w}
 	p.enqueue(t)
 	p.assign(now)
@@ -215,7 +225,11 @@
 	g.started = true
 	g.acct.heard = now
 	g.acct.reading -= g.work.Prompt
-	p.model.first(g.acct, g.ahead, now.Sub(g.sent))
+	s := Sample{Endpoint: g.Endpoint.ID, Ahead: g.ahead, First: now.Sub(g.sent)}
+	p.model.first(g.acct, s.Ahead, s.First)
+	if len(p.samples) < reportSamples {
+		p.samples = append(p.samples, s)
+	}
 }
 
 // Heard reports whether the endpoint of a grant has begun or ended another response since the request was sent. Then it
@@ -249,7 +263,10 @@
 		a.probing = false
 	}
 	a.judge(now, o)
-	if o == Served {
+	if (o == Broken || o == Unreachable) && len(p.failed) < reportSamples {
+		p.failed = append(p.failed, a.ID)
+	}
+	if o == Served || o == Failed {
 		a.heard = now
 		p.served.add(now)
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -72,12 +72,12 @@
 func TestLoadOfOtherInstances(t *testing.T) {
 	g := NewWithT(t)
 	p := newPool(endpoints(1, 2))
-	p.Hear(begin, "other", []pool.Load{{Endpoint: "e00", Running: 2}}, nil)
+	p.Hear(begin, "other", true, pool.Report{Loads: []pool.Load{{Endpoint: "e00", Running: 2}}})
 	ticket := p.Submit(begin, work(1, begin))
 	g.Expect(decision(ticket)).To(BeNil())
-	p.Hear(begin.Add(50*time.Millisecond), "third", nil, nil)
+	p.Hear(begin.Add(50*time.Millisecond), "third", true, pool.Report{})
 	g.Expect(decision(ticket)).To(BeNil())
-	p.Hear(begin.Add(1100*time.Millisecond), "third", nil, nil)
+	p.Hear(begin.Add(1100*time.Millisecond), "third", true, pool.Report{})
 	g.Expect(decision(ticket)).ToNot(BeNil())
 }
 
@@ -103,7 +103,7 @@
 				tickets = append(tickets, p.Submit(begin, work(tier, begin.Add(time.Duration(i)*time.Millisecond))))
 			}
 			if c.there != nil {
-				p.Hear(begin, "other", nil, c.there)
+				p.Hear(begin, "other", true, pool.Report{Waiting: c.there})
 			}
 			p.Done(begin.Add(10*time.Millisecond), busy, pool.Served)
 			first := -1
--- /dev/null
+++ b/gateway/digest.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"monsoondale/core"
+	"monsoondale/core/pool"
+	"monsoondale/core/route"
+	wire "monsoondale/wire/mesh"
+)
+
+var errLengths = errors.New("lists of different lengths")
+
+// digest returns the wire form of a pool's report.
+func digest(s route.Service, r pool.Report) wire.Pool {
+	w := wire.Pool{Service: string(s), Waiting: r.Waiting}
+	for _, l := range r.Loads {
+		w.Endpoints = append(w.Endpoints, string(l.Endpoint))
+		w.Running = append(w.Running, l.Running)
+		w.Reading = append(w.Reading, int(l.Reading))
+	}
+	for _, v := range r.Samples {
+		w.Seen = append(w.Seen, string(v.Endpoint))
+		w.Ahead = append(w.Ahead, int(v.Ahead))
+		w.First = append(w.First, int(v.First.Milliseconds()))
+	}
+	for _, id := range r.Failed {
+		w.Failed = append(w.Failed, string(id))
+	}
+	return w
+}
+
+// report reads the wire form of a pool's report.
+func report(w *wire.Pool) (pool.Report, error) {
+	r := pool.Report{Waiting: w.Waiting}
+	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) {
+		return r, errLengths
+	}
+	for i, e := range w.Endpoints {
+		r.Loads = append(r.Loads, pool.Load{Endpoint: core.EndpointID(e), Running: w.Running[i], Reading: core.Tokens(w.Reading[i])})
+	}
+	for i, e := range w.Seen {
+		r.Samples = append(r.Samples, pool.Sample{
+			Endpoint: core.EndpointID(e), Ahead: core.Tokens(w.Ahead[i]), First: time.Duration(w.First[i]) * time.Millisecond,
+		})
+	}
+	for _, e := range w.Failed {
+		r.Failed = append(r.Failed, core.EndpointID(e))
+	}
+	return r, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -323,14 +323,7 @@
 		Members: int(g.mirrors[Members].Changed()), Blind: g.lost.Load() > 0,
 	}
 	for s, p := range g.pools {
-		loads, waiting := p.Loads()
-		w := wire.Pool{Service: string(s), Waiting: waiting}
-		for _, l := range loads {
-			w.Endpoints = append(w.Endpoints, string(l.Endpoint))
-			w.Running = append(w.Running, l.Running)
-			w.Reading = append(w.Reading, int(l.Reading))
-		}
-		d.Pools = append(d.Pools, w)
+		d.Pools = append(d.Pools, digest(s, p.Report()))
 	}
 	g.budgets.mu.Lock()
 	r := g.budgets.ledger.Report(now)
@@ -363,14 +356,15 @@
 	}
 	for _, w := range d.Pools {
 		p := g.pools[route.Service(w.Service)]
-		if p == nil || len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) {
+		if p == nil {
 			continue
 		}
-		loads := make([]pool.Load, len(w.Endpoints))
-		for i, e := range w.Endpoints {
-			loads[i] = pool.Load{Endpoint: core.EndpointID(e), Running: w.Running[i], Reading: core.Tokens(w.Reading[i])}
+		r, err := report(&w)
+		if err != nil {
+			g.log.Info("digest skipped", "instance", m.Name, "service", w.Service, "cause", err.Error())
+			continue
 		}
-		p.Hear(now, m.Name, loads, w.Waiting)
+		p.Hear(now, m.Name, m.Centre == g.o.Settings.Centre, r)
 	}
 	id := func(_ float64, name string) core.WorkspaceID { return core.WorkspaceID(name) }
 	g.budgets.mu.Lock()
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -85,17 +85,32 @@
 // Pool is the sender's load at the endpoints of one service. Endpoints, Running
 // and Reading have an entry for each endpoint with load: its id, the requests in
 // progress, and the prompt tokens that it has not read. Waiting has the number of
-// waiting requests for each tier.
+// waiting requests for each tier. Seen, Ahead and First have an entry for each
+// response that began since the last digest: the endpoint, the prompt tokens that
+// it had to read, and the milliseconds until the response began. Failed has the
+// endpoint of each request since then that an endpoint broke.
 type Pool struct {
+	// Ahead corresponds to the JSON schema field "ahead".
+	Ahead []int `json:"ahead,omitempty,omitzero"`
+
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []string `json:"endpoints,omitempty,omitzero"`
 
+	// Failed corresponds to the JSON schema field "failed".
+	Failed []string `json:"failed,omitempty,omitzero"`
+
+	// First corresponds to the JSON schema field "first".
+	First []int `json:"first,omitempty,omitzero"`
+
 	// Reading corresponds to the JSON schema field "reading".
 	Reading []int `json:"reading,omitempty,omitzero"`
 
 	// Running corresponds to the JSON schema field "running".
 	Running []int `json:"running,omitempty,omitzero"`
 
+	// Seen corresponds to the JSON schema field "seen".
+	Seen []string `json:"seen,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
