Repeat requests that an endpoint ran to a failure

Callers who come back are late.

Change: within the route's attempts and the repeat budget, another endpoint is asked; if none serves it, the first endpoint's answer is passed on as it was. Endpoints are marked down for such answers but not suspended, as all may fail alike.

Test: TestEndpointFailure fails without the change (both cases).

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -218,18 +218,45 @@
 	}
 	resp.Finished()
 	a.outcome = pool.Served
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.outcome = pool.Failed
+	}
 	if x.begun {
 		return result{status: resp.StatusCode, reason: "endpoint would not continue", abort: true}, false
 	}
+	w := &held{status: resp.StatusCode, header: resp.Header, body: b}
+	if a.outcome == pool.Failed && a.another() {
+		x.held = w
+		return result{reason: "endpoint answered " + strconv.Itoa(resp.StatusCode)}, true
+	}
+	return x.answer(w, "served"), false
+}
+
+// held is a whole response of an endpoint.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// another reports whether a request that an endpoint has run to a failure is sent to another one, and counts the repeat.
+func (a *attempt) another() bool {
+	x := a.x
+	return x.route.Repeatable() && x.ran < x.route.Attempts && a.ctx.Err() == nil &&
+		time.Until(x.deadline) > max(a.grant.Expected, useless) && x.f.o.Budgets.Repeat(x.service)
+}
+
+// answer passes a whole response on.
+func (x *exchange) answer(w *held, reason string) result {
 	h := x.w.Header()
-	relay(h, resp.Header)
-	h.Set("Content-Length", strconv.Itoa(len(b)))
+	relay(h, w.header)
+	h.Set("Content-Length", strconv.Itoa(len(w.body)))
 	x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on connections that are gone
-	x.w.WriteHeader(resp.StatusCode)
+	x.w.WriteHeader(w.status)
 	x.begun, x.first = true, time.Now()
-	if _, err := x.w.Write(b); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+	if _, err := x.w.Write(w.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		x.cause = err
-		return result{status: statusLeft, reason: "caller left", abort: true}, false
+		return result{status: statusLeft, reason: "caller left", abort: true}
 	}
-	return result{status: resp.StatusCode, reason: "served"}, false
+	return result{status: w.status, reason: reason}
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -165,6 +165,7 @@
 	ran      int               // endpoints that may have run it
 	exclude  []core.EndpointID // endpoints that are not tried again
 	begun    bool              // the response's header has been passed on
+	held     *held             // failure of an endpoint, passed on if no other one serves the request
 	last     string            // id of the last event that the caller has
 	first    time.Time         // when the response or its first event was passed on
 	endpoint core.EndpointID
@@ -216,6 +217,9 @@
 	if x.begun {
 		return result{status: status, reason: reason, abort: true}
 	}
+	if x.held != nil {
+		return x.answer(x.held, reason)
+	}
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
