Keep a part of an exhausted quota for urgent requests

All refused callers were told the same time and came back at once.

Change: after a refusal, and until there was none for a window, less urgent requests leave 5% of the quota for each rank (10% at most) to more urgent ones, and are held to the rate while less than 60% is left. Requests that cost less than a quarter of the mean are exempt. Refused callers are told a time behind those that were refused before, at the instance's part of the rate. Random choices of a pool now follow from its seed, so that simulated loads repeat.

--- a/core/pool/account.go
+++ b/core/pool/account.go
@@ -110,7 +110,7 @@
 
 // told updates the failure rate by what another instance has seen. Instances that suspend an endpoint for that probe it
 // at different times, so that the others learn the outcome of the first probes instead of making their own.
-func (a *account) told(now time.Time, failed bool) {
+func (a *account) told(now time.Time, failed bool, rng *rand.Rand) {
 	if !failed {
 		a.failures -= failureWeight * a.failures
 		if a.hearsay {
@@ -120,7 +120,7 @@
 	}
 	a.failures += failureWeight * (1 - a.failures)
 	if a.strikes == 0 && a.failures > failureLimit || a.hearsay && !now.Before(a.suspended) {
-		a.suspend(now, 1+suspendSpread*rand.Float64())
+		a.suspend(now, 1+suspendSpread*rng.Float64())
 		a.hearsay = true
 	}
 }
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -164,7 +163,7 @@
 // from the same reports. So the request takes a random place among these, each of which is taken to have gone to the
 // endpoint that was best then. Otherwise all would choose the same few endpoints until the next report.
 func (p *Pool) best(now time.Time, choices []choice) *account {
-	for n := rand.N(p.unseen(now) + 1); ; n-- {
+	for n := p.rng.IntN(p.unseen(now) + 1); ; n-- {
 		var c *choice
 		for i := range choices {
 			if o := &choices[i]; o.free > 0 && (c == nil || o.score < c.score) {
@@ -175,7 +174,7 @@
 		case c == nil && len(choices) == 0:
 			return nil
 		case c == nil:
-			return choices[rand.N(len(choices))].account
+			return choices[p.rng.IntN(len(choices))].account
 		case n == 0:
 			return c.account
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -5,6 +5,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -120,7 +121,7 @@
 // Options configures a Pool.
 type Options struct {
 	Centre core.DataCentre // of this instance
-	// Seed makes choices between equal endpoints differ between instances.
+	// Seed makes choices differ between instances.
 	Seed uint64
 }
 
@@ -144,11 +145,12 @@
 	failed   []core.EndpointID // likewise
 	prompt   average           // prompt tokens of a request
 	choices  []choice          // reused by decide
+	rng      *rand.Rand
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]heard{}}
+	return &Pool{o: o, accounts: map[core.EndpointID]*account{}, peers: map[core.InstanceID]heard{}, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // List replaces the list of endpoints. Requests at endpoints that are no longer listed run on.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -17,6 +17,22 @@
 // Use is units by workspace.
 type Use map[core.WorkspaceID]float64
 
+// Once a quota has been exhausted, and until less urgent requests have not been refused for a window, their use in
+// paceSlices slices is held to the part of the quota for these, while less than paceBelow of it is left. Otherwise a
+// workspace that asks for too much uses its quota up at once again and again, and is then refused everything, urgent or
+// not, until that use leaves the window.
+const (
+	paceBelow  = 0.6
+	paceSlices = 4
+	// smallShare is the part of the mean cost of a request up to which one is not held to that: it takes little from
+	// others, and is worth as much to its caller.
+	smallShare = 0.25
+	// meanWeight is the weight of the newest request in the mean cost; about the last 100 count.
+	meanWeight = 0.01
+	// paceShare is the part of the rate that they may bring the use to, so that some is left for bursts of urgent ones.
+	paceShare = 0.95
+)
+
 // Report is what an instance tells the others.
 type Report struct {
 	Start time.Time // of its process
@@ -40,7 +56,12 @@
 	// ours is the use of this instance and those that it hears since the last split; before is older use.
 	ours, before [slices + 1]float64
 	newest       int64   // number of the newest slice
-	used         float64 // by this instance since it started
+	mean         float64 // units of a request that is within the quota
+	// exhausted is when a request was last refused.
+	exhausted time.Time
+	// promised is the time up to which requests that were refused here have been told to come back.
+	promised time.Time
+	used     float64 // by this instance since it started
 }
 
 type peer struct {
@@ -97,6 +118,16 @@
 	}
 }
 
+// recent returns the use in the newest slices.
+func (a *account) recent(n int64) float64 {
+	total := 0.0
+	for i := n - paceSlices + 1; i <= n; i++ {
+		k := i % (slices + 1)
+		total += a.ours[k] + a.before[k]
+	}
+	return total
+}
+
 func sum(s *[slices + 1]float64) float64 {
 	total := 0.0
 	for _, v := range s {
@@ -123,8 +154,9 @@
 }
 
 // Take reports whether a request of the given units is within the quota and counts it if so. Otherwise it returns the
-// time after which it may be. Workspaces without a quota are not limited.
-func (l *Ledger) Take(now time.Time, id core.WorkspaceID, units float64) (time.Duration, bool) {
+// time after which it is expected to be, behind those that were refused before. keep is the part of the quota, from 0 to
+// 1, that is left to more urgent requests once the quota has been exhausted. Workspaces without a quota are not limited.
+func (l *Ledger) Take(now time.Time, id core.WorkspaceID, units, keep float64) (time.Duration, bool) {
 	a := l.accounts[id]
 	if a == nil || a.quota.Rate <= 0 {
 		return 0, true
@@ -143,13 +175,40 @@
 		left = min(left, l.share*(limit-told))
 	}
 	if units > left {
-		return l.wait(a, units-left), false
+		a.exhausted = now
+		return l.promise(now, a, units, l.wait(a, units-left)), false
+	}
+	a.mean += meanWeight * (units - a.mean)
+	if mine := l.share * limit; keep > 0 && units > smallShare*a.mean && now.Sub(a.exhausted) < l.o.Window {
+		switch kept := keep * mine; {
+		case units > left-kept:
+			a.exhausted = now
+			return l.promise(now, a, units, l.wait(a, units+kept-left)), false
+		case left < paceBelow*mine && a.recent(n)+units > paceShare*mine*paceSlices/slices:
+			a.exhausted = now
+			return l.promise(now, a, units, l.o.Window/slices), false
+		}
 	}
 	a.ours[n%(slices+1)] += units
 	a.used += units
 	return 0, true
 }
 
+// promise returns when a refused request may come back: when enough use has left the window, and not before the
+// requests that were refused here earlier have had this instance's part of the rate. Otherwise all come back at once, and
+// most are refused again.
+func (l *Ledger) promise(now time.Time, a *account, units float64, wait time.Duration) time.Duration {
+	rate := l.share * a.quota.Rate / float64(len(l.peers)+1)
+	if a.promised.Before(now) {
+		a.promised = now
+	}
+	a.promised = a.promised.Add(time.Duration(units / rate * float64(time.Second)))
+	if last := now.Add(l.o.Window); a.promised.After(last) {
+		a.promised = last
+	}
+	return max(wait, a.promised.Sub(now))
+}
+
 // told returns the largest use in the window that another instance reports, and the time since which use is known.
 func (l *Ledger) told(now time.Time, id core.WorkspaceID) (float64, time.Time) {
 	most, oldest := 0.0, l.o.Start
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -31,7 +31,7 @@
 func drain(l *quota.Ledger, now time.Time) float64 {
 	n := 0.0
 	for {
-		if _, ok := l.Take(now, "w", 1); !ok {
+		if _, ok := l.Take(now, "w", 1, 0); !ok {
 			return n
 		}
 		n++
@@ -55,13 +55,61 @@
 	g := NewWithT(t)
 	l := ledger(begin.Add(-window))
 	g.Expect(drain(l, begin)).To(BeNumerically("==", limit))
-	wait, ok := l.Take(begin, "w", 1)
+	wait, ok := l.Take(begin, "w", 1, 0)
 	g.Expect(ok).To(BeFalse())
 	g.Expect(wait).To(BeNumerically("~", window, window/16))
 	g.Expect(drain(l, begin.Add(window-window/32))).To(BeZero())
 	g.Expect(drain(l, begin.Add(window+window/16))).To(BeNumerically("==", limit))
 }
 
+// Load: hot workspace. Guards against a quota that is used up by the least urgent requests, and against large requests
+// that never fit because small ones take what leaves the window.
+func TestUrgentRequestsKeepPartOfQuota(t *testing.T) {
+	g := NewWithT(t)
+	l := ledger(begin.Add(-window))
+	var urgent, other, askedUrgent, askedOther float64
+	for step := range 1000 { // each 20 ms for 20 s, of which the first 8 s fill the window
+		now := begin.Add(time.Duration(step) * 20 * time.Millisecond)
+		count := func(units, keep float64, asked, got *float64) {
+			_, ok := l.Take(now, "w", units, keep)
+			if now.Sub(begin) < window {
+				return
+			}
+			*asked += units
+			if ok {
+				*got += units
+			}
+		}
+		for range 4 {
+			count(1, 0.1, &askedOther, &other)
+		}
+		if step%20 == 0 {
+			count(30, 0, &askedUrgent, &urgent)
+		}
+	}
+	g.Expect(urgent/askedUrgent).To(BeNumerically(">=", 0.9), "three quarters of the rate are asked for by urgent requests")
+	g.Expect(other/askedOther).To(BeNumerically("<", 0.5), "%v of %v", other, askedOther)
+}
+
+// Load: hot workspace. Guards against callers that are all told to come back at once, of whom most are refused again.
+func TestReturnsAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	l := ledger(begin.Add(-window))
+	for now := begin; now.Before(begin.Add(window)); now = now.Add(window / 32) {
+		drain(l, now) // a steady use of the whole quota after the burst
+	}
+	now := begin.Add(2 * window)
+	drain(l, now)
+	var last time.Duration
+	for n := 1; n <= 300; n++ {
+		wait, ok := l.Take(now, "w", 1, 0)
+		g.Expect(ok).To(BeFalse())
+		g.Expect(wait).To(BeNumerically(">=", last))
+		g.Expect(wait).To(BeNumerically(">=", time.Duration(float64(n)/rate*float64(time.Second))), "request %d", n)
+		last = wait
+	}
+}
+
 // Guards against a workspace that uses its quota once on each instance.
 func TestInstancesShareOneQuota(t *testing.T) {
 	g := NewWithT(t)
@@ -98,7 +146,7 @@
 				sides[n] = ledger(begin.Add(-window))
 			}
 			for range int(c.used) {
-				_, ok := sides["a"].Take(begin, "w", 1)
+				_, ok := sides["a"].Take(begin, "w", 1, 0)
 				g.Expect(ok).To(BeTrue())
 			}
 			exchange(begin, sides)
@@ -151,7 +199,7 @@
 			g := NewWithT(t)
 			l := ledger(begin.Add(-window))
 			for range int(c.used) {
-				l.Take(begin, "w", 1)
+				l.Take(begin, "w", 1, 0)
 			}
 			now := begin.Add(3 * time.Second)
 			r := l.Record(now)
@@ -168,7 +216,7 @@
 func TestReturnAndMove(t *testing.T) {
 	g := NewWithT(t)
 	l := ledger(begin.Add(-window))
-	_, ok := l.Take(begin, "w", limit)
+	_, ok := l.Take(begin, "w", limit, 0)
 	g.Expect(ok).To(BeTrue())
 	later := begin.Add(2 * time.Second)
 	l.Move(begin, later, "w", limit)
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -35,11 +35,18 @@
 	b.options = retry.Options{Window: s.RetryWindow, Ratio: s.RetryRatio, Extra: s.RetryExtra, Margin: retryMargin}
 }
 
-// Take counts units of a workspace.
-func (b *budgets) Take(id core.WorkspaceID, units float64) (time.Duration, bool) {
+// keepRank is the part of a quota that each rank leaves to the more urgent ones, about what leaves the window in two
+// slices of it, so that a larger request finds room before less urgent ones have taken it.
+const keepRank = 0.05
+
+// keepMost is the part that the least urgent ones leave.
+const keepMost = 0.1
+
+// Take counts units of a workspace for a request of a rank, 0 for the most urgent one.
+func (b *budgets) Take(id core.WorkspaceID, rank int, units float64) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ledger.Take(time.Now(), id, units)
+	return b.ledger.Take(time.Now(), id, units, min(float64(max(rank, 0))*keepRank, keepMost))
 }
 
 // Return gives units back.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -77,8 +77,9 @@
 
 // Budgets bounds the use of workspaces and the repeats of services over all instances.
 type Budgets interface {
-	// Take counts units of a workspace, or returns the time after which they are within the quota.
-	Take(id core.WorkspaceID, units float64) (time.Duration, bool)
+	// Take counts units of a workspace, or returns the time after which they are within the quota. Requests of a higher
+	// rank leave a part of it to more urgent ones.
+	Take(id core.WorkspaceID, rank int, units float64) (time.Duration, bool)
 	// Return gives back the units of a request that did not run.
 	Return(taken time.Time, id core.WorkspaceID, units float64)
 	// Move counts units that were taken at a time as used now, when the request is sent.
@@ -277,7 +278,7 @@
 	}
 	if x.ws != nil {
 		x.cost = x.ws.Quota.Cost(x.call.Prompt+x.call.Output, x.call.Stated)
-		if wait, ok := x.f.o.Budgets.Take(x.ws.ID, x.cost); !ok {
+		if wait, ok := x.f.o.Budgets.Take(x.ws.ID, int(x.route.Tier), x.cost); !ok {
 			return x.refuse(http.StatusTooManyRequests, "quota", wait)
 		}
 		x.units, x.taken = x.cost, time.Now()
