--- a/core/route/route.go
+++ b/core/route/route.go
@@ -125,15 +125,6 @@
 	}
 }
 
-// ServiceSpec describes the endpoints of a service.
-type ServiceSpec struct {
-	Name        Service
-	Connections int // connections that an endpoint accepts from all instances; 0 if unknown
-	// Engine marks model engines, which work on a batch of requests at a time.
-	Engine bool
-	Memory core.Tokens // tokens that an engine keeps; 0 if unknown
-}
-
 // Limits bounds what callers may send.
 type Limits struct {
 	Header        int // bytes
@@ -147,21 +138,19 @@
 	Version    Version
 	Routes     []Route
 	Workspaces []Workspace
-	Services   []ServiceSpec
 	Limits     Limits
 }
 
 // Table is one version of the configuration.
 type Table struct {
-	o        Options
-	hosts    map[string]map[string]*Route
-	keys     map[string]*Workspace
-	services map[Service]*ServiceSpec
+	o     Options
+	hosts map[string]map[string]*Route
+	keys  map[string]*Workspace
 }
 
 // New returns the table of a configuration.
 func New(o Options) *Table {
-	t := &Table{o: o, hosts: map[string]map[string]*Route{}, keys: map[string]*Workspace{}, services: map[Service]*ServiceSpec{}}
+	t := &Table{o: o, hosts: map[string]map[string]*Route{}, keys: map[string]*Workspace{}}
 	for i := range o.Routes {
 		r := &o.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -175,9 +164,6 @@
 			t.keys[k] = &o.Workspaces[i]
 		}
 	}
-	for i := range o.Services {
-		t.services[o.Services[i].Name] = &o.Services[i]
-	}
 	return t
 }
 
@@ -199,12 +185,6 @@
 	return w, ok
 }
 
-// Service returns the description of a service.
-func (t *Table) Service(s Service) (*ServiceSpec, bool) {
-	spec, ok := t.services[s]
-	return spec, ok
-}
-
 // Match returns the route of a host and path: of the host's routes the one with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"monsoondale/common/dial"
 	"monsoondale/core"
 )
 
@@ -93,20 +94,7 @@
 		o.Idle = 8
 	}
 	if o.Dial == nil {
-		d := &net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				var err error
-				ctl := raw.Control(func(fd uintptr) {
-					err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-				})
-				if ctl != nil {
-					return ctl
-				}
-				return err
-			},
-		}
+		d := dial.New(dial.Options{Timeout: dialTimeout, Unacknowledged: unacknowledged, KeepAlive: 2 * time.Second, Probes: 2})
 		o.Dial = d.DialContext
 	}
 	return &Client{o: o, idle: map[string][]*conn{}}
