Take turns for free slots

A slot that came free was given by every instance with a waiting request to a request of its own; these waited at the engine 0.4 to 0.6 s, where their order cannot change.

Ruled out: stale reports by themselves (4 requests an engine between reports, not 20); engines that are five times slower (fast ones alike).

Change: an instance takes a random place, new with each of its reports, among the requests that others have sent since their last reports or that wait there, as far as requests last that long; the ones before it are taken to have gone where it was best. Slots that it has given back since its last report are its own. If none is left, it waits.

Also: loads of other instances stopped to count only when another report arrived, so that the last instance alive saw them for ever.

--- a/core/pool/account.go
+++ b/core/pool/account.go
@@ -45,6 +45,7 @@
 	running int         // requests of this instance
 	reading core.Tokens // prompt tokens of this instance's requests whose response has not begun
 	others  load        // what other instances report
+	told    int         // requests of this instance in its last report
 
 	speed   float64 // time to the first event relative to the pool's model; higher is slower
 	samples int     // first events seen
@@ -108,9 +109,9 @@
 	a.failures = failureAfter
 }
 
-// told updates the failure rate by what another instance has seen. Instances that suspend an endpoint for that probe it
+// warn updates the failure rate by what another instance has seen. Instances that suspend an endpoint for that probe it
 // at different times, so that the others learn the outcome of the first probes instead of making their own.
-func (a *account) told(now time.Time, failed bool, rng *rand.Rand) {
+func (a *account) warn(now time.Time, failed bool, rng *rand.Rand) {
 	if !failed {
 		a.failures -= failureWeight * a.failures
 		if a.hearsay {
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -71,6 +71,9 @@
 	if len(p.queue) == 0 {
 		return
 	}
+	if now.Sub(p.summed) >= sumEvery {
+		p.sum(now)
+	}
 	var moved []*Ticket
 	kept := p.queue[:0]
 	for _, t := range p.queue {
@@ -130,11 +133,16 @@
 		if !a.Leaving {
 			listed = true
 		}
-		if !a.open(now) || a.free() <= 0 {
+		if !a.open(now) {
+			continue
+		}
+		c := choice{account: a, seen: a.Slots - a.others.running - a.told, own: a.told - a.running}
+		if c.seen <= 0 && c.seen+c.own <= 0 {
 			continue
 		}
-		free += a.free()
-		choices = append(choices, choice{a, a.free(), p.score(now, a, &t.work)})
+		free += max(c.seen+c.own, 0)
+		c.score = p.score(now, a, &t.work)
+		choices = append(choices, c)
 	}
 	p.choices = choices
 	best := p.best(now, choices)
@@ -155,32 +163,39 @@
 // choice is an endpoint that a request may be sent to.
 type choice struct {
 	*account
-	free  int
+	seen  int // free slots as of the last reports, which all instances know of
+	own   int // slots that this instance has given back since its last report, less those it has taken
 	score time.Duration
 }
 
-// best returns the endpoint for a request, or nil. Other instances have sent requests since their last report, and chose
-// from the same reports. So the request takes a random place among these, each of which is taken to have gone to the
-// endpoint that was best then. Otherwise all would choose the same few endpoints until the next report.
+// best returns the endpoint for a request, or nil. Other instances have sent requests since their last reports, and
+// others wait there; all choose from the same reports. So this instance takes a random place among them until its next
+// report, and each one before it is taken to have gone to the endpoint that was best then. Otherwise all would choose the
+// same few endpoints until the next report. Slots that this instance has given back since are known to it alone.
 func (p *Pool) best(now time.Time, choices []choice) *account {
-	for n := p.rng.IntN(p.unseen(now) + 1); ; n-- {
-		var c *choice
-		for i := range choices {
-			if o := &choices[i]; o.free > 0 && (c == nil || o.score < c.score) {
-				c = o
-			}
-		}
-		switch {
-		case c == nil && len(choices) == 0:
-			return nil
-		case c == nil:
-			return choices[p.rng.IntN(len(choices))].account
-		case n == 0:
-			return c.account
+	for n := int(p.place * float64(p.unseen(now)+1)); n > 0; n-- {
+		c := least(choices, func(c *choice) bool { return c.seen > 0 })
+		if c == nil {
+			break
 		}
-		c.free--
+		c.seen--
 		c.score += p.model.marginal(c.account, core.Tokens(p.prompt.value))
 	}
+	if c := least(choices, func(c *choice) bool { return c.seen+c.own > 0 }); c != nil {
+		return c.account
+	}
+	return nil
+}
+
+// least returns the choice with the least score of those that fit, or nil.
+func least(choices []choice, fits func(c *choice) bool) *choice {
+	var best *choice
+	for i := range choices {
+		if c := &choices[i]; fits(c) && (best == nil || c.score < best.score) {
+			best = c
+		}
+	}
+	return best
 }
 
 // excluded returns the endpoints that are not chosen for a request: those that were tried, unless no other is left.
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -70,6 +70,8 @@
 	digest                    time.Duration // between digests
 	// broken tells that an engine breaks every request at a time, in seconds.
 	broken func(engine int, s float64) bool
+	// times is the time that engines take relative to each other, by turns; higher is slower.
+	times []float64
 }
 
 const (
@@ -81,7 +83,7 @@
 
 // small is a fleet of the size of a small firm's.
 func small(engines int) fleet {
-	return fleet{instances: 6, engines: engines, slots: 11, digest: 40 * time.Millisecond}
+	return fleet{instances: 6, engines: engines, slots: 11, digest: 40 * time.Millisecond, times: []float64{1.8, 1, 0.36}}
 }
 
 func simulate(seed uint64, f fleet, span time.Duration, kinds ...kind) map[string]*result {
@@ -93,7 +95,7 @@
 	for i := range list {
 		list[i].Centre = core.DataCentre("abc"[i%3 : i%3+1])
 		s.number[list[i].ID] = i
-		s.speed[list[i].ID] = []float64{1.8, 1, 0.36}[i%3]
+		s.speed[list[i].ID] = f.times[i%len(f.times)]
 	}
 	for i := range f.instances {
 		p := pool.New(pool.Options{Centre: core.DataCentre("abc"[i%3 : i%3+1]), Seed: uint64(i) * 977})
@@ -312,7 +314,7 @@
 
 // large is a fleet whose instances hear of each other several times less often.
 func large() fleet {
-	return fleet{instances: 60, engines: 60, slots: 11, queue: 4, digest: 200 * time.Millisecond}
+	return fleet{instances: 60, engines: 60, slots: 11, queue: 4, digest: 200 * time.Millisecond, times: []float64{1.8, 1, 0.36}}
 }
 
 // Load: many instances with stale reports. Guards against instances that all choose the engines that looked best in the
@@ -349,3 +351,34 @@
 	// Seven engines and three data centres: three failures suspend an engine, and two more may be on their way or probe it.
 	g.Expect(broken).To(BeNumerically("<=", 7*3*5))
 }
+
+// Load: flood in a large fleet. Guards against instances that all give a slot that came free to a request of their own,
+// which then wait at the engines, where their order cannot change and all are late.
+func TestFloodInLargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	f := large()
+	f.queue = 40
+	f.times = []float64{1}
+	var served, ontime int
+	for name, k := range simulate(6, f, 5*time.Second,
+		kind{"draft", 0, 6600, 42, 400 * time.Millisecond, burst(200, 3, 2, 8)},
+		kind{"dedication", 1, 628, 32, 250 * time.Millisecond, burst(186, 3, 2, 8)},
+		kind{"check", 2, 1800, 3, 300 * time.Millisecond, burst(411, 3, 2, 8)},
+	) {
+		t.Logf("%s %+v", name, *k)
+		served += k.ontime + k.late + k.left
+		ontime += k.ontime
+	}
+	g.Expect(share(ontime, served)).To(BeNumerically(">=", 0.8))
+}
+
+// Load: short requests at few engines, in a large fleet. Guards against reports that count requests that have long ended:
+// slots are used several times between two reports.
+func TestShortRequestsInLargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	f := large()
+	f.engines, f.slots, f.times = 4, 6, []float64{1}
+	k := simulate(7, f, 6*time.Second, kind{"order", 0, 0, 1, 120 * time.Millisecond, constant(200)})["order"]
+	t.Logf("%+v", *k)
+	g.Expect(share(k.ontime, k.asked)).To(BeNumerically(">=", 0.95))
+}
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -10,6 +10,9 @@
 // an older one means that the instance is dead or cut off.
 const reportValidity = time.Second
 
+// sumEvery is how often the reports are added up again if none arrives, so that old ones stop to count.
+const sumEvery = reportValidity / 4
+
 const (
 	// rateWeight is the weight of the newest report in an instance's rate of requests.
 	rateWeight = 0.1
@@ -65,7 +68,9 @@
 	defer p.mu.Unlock()
 	r := Report{Samples: p.samples, Failed: p.failed, Waiting: make([]int, core.Tiers)}
 	p.samples, p.failed = nil, nil
+	p.place = p.rng.Float64()
 	for _, a := range p.order {
+		a.told = a.running
 		if a.running > 0 {
 			r.Loads = append(r.Loads, Load{Endpoint: a.ID, Running: a.running, Reading: a.reading})
 		}
@@ -95,13 +100,13 @@
 		if a := p.accounts[s.Endpoint]; a != nil {
 			p.model.first(a, s.Ahead, s.First)
 			if near {
-				a.told(now, false, p.rng)
+				a.warn(now, false, p.rng)
 			}
 		}
 	}
 	for _, id := range r.Failed {
 		if a := p.accounts[id]; a != nil && near {
-			a.told(now, true, p.rng)
+			a.warn(now, true, p.rng)
 		}
 	}
 	p.sum(now)
@@ -110,6 +115,7 @@
 
 // sum adds up the reports that count.
 func (p *Pool) sum(now time.Time) {
+	p.summed = now
 	for _, a := range p.order {
 		a.others = load{}
 	}
@@ -140,11 +146,18 @@
 	return n
 }
 
-// unseen returns how many requests other instances are expected to have sent since their last reports.
+// unseen returns how many requests of other instances are expected to hold a slot, or to take the next free one, that
+// their last reports do not show as running: those that they have sent since and those that waited there. Of both, only
+// as many are left as requests last, compared with the age of the report.
 func (p *Pool) unseen(now time.Time) int {
 	n := 0.0
 	for _, h := range p.peers {
-		n += h.rate.value * now.Sub(h.at).Seconds()
+		age := max(now.Sub(h.at), time.Millisecond)
+		m := h.rate.value * age.Seconds()
+		for _, w := range h.waiting {
+			m += float64(w)
+		}
+		n += m * min(1, p.stay.value/float64(age))
 	}
 	return min(int(n), unseenMost)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -128,8 +128,9 @@
 // stepWeight is the weight of the newest stream in an endpoint's time between events.
 const stepWeight = 0.2
 
-// promptWeight is the weight of the newest request in the mean number of prompt tokens; about the last 50 count.
-const promptWeight = 0.02
+// sizeWeight is the weight of the newest request in the mean number of prompt tokens and the mean time that requests
+// take; about the last 50 count.
+const sizeWeight = 0.02
 
 // Pool schedules the requests of one service. It is safe for concurrent use.
 type Pool struct {
@@ -139,13 +140,16 @@
 	order    []*account // sorted by id
 	queue    []*Ticket  // by precedence
 	peers    map[core.InstanceID]heard
+	summed   time.Time // when their loads were added up
 	model    model
 	served   pace
 	samples  []Sample          // since the last report
 	failed   []core.EndpointID // likewise
 	prompt   average           // prompt tokens of a request
 	choices  []choice          // reused by decide
+	stay     average           // nanoseconds that a served request is at an endpoint
 	rng      *rand.Rand
+	place    float64 // of this instance among those that send, from 0 to 1, until its next report
 }
 
 // New returns an empty pool.
@@ -183,7 +187,7 @@
 func (p *Pool) Submit(now time.Time, w Work) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.prompt.add(float64(w.Prompt), promptWeight)
+	p.prompt.add(float64(w.Prompt), sizeWeight)
 	t := &Ticket{Decided: make(chan Decision, 1), work: w}
 	p.enqueue(t)
 	p.assign(now)
@@ -271,6 +275,7 @@
 	if o == Served || o == Failed {
 		a.heard = now
 		p.served.add(now)
+		p.stay.add(float64(now.Sub(g.sent)), sizeWeight)
 	}
 	p.assign(now)
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -222,3 +222,30 @@
 	long.Prompt = 20000
 	g.Expect(grant(g, p.Submit(now, long)).Endpoint.ID).To(Equal(core.EndpointID("e01")))
 }
+
+// Guards against slots that stay taken for ever by instances that are gone, at the only one that is left.
+func TestLoadOfSilentInstances(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(endpoints(1, 2))
+	p.Hear(begin, "other", true, pool.Report{Loads: []pool.Load{{Endpoint: "e00", Running: 2}}, Waiting: []int{5}})
+	g.Expect(decision(p.Submit(begin, work(1, begin)))).To(BeNil())
+	later := begin.Add(1100 * time.Millisecond)
+	grant(g, p.Submit(later, work(1, later)))
+}
+
+// Guards against an instance that leaves its own slots unused until others have reported, and against one that takes
+// slots for which others wait.
+func TestTurns(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(endpoints(1, 2))
+	first, second := grant(g, p.Submit(begin, work(1, begin))), grant(g, p.Submit(begin, work(1, begin)))
+	p.First(begin, first)
+	p.Done(begin.Add(time.Second), first, pool.Served)
+	p.Report()
+	p.Hear(begin.Add(time.Second), "other", true, pool.Report{Waiting: []int{0, 1000}})
+	now := begin.Add(1100 * time.Millisecond)
+	waiting := p.Submit(now, work(1, now))
+	g.Expect(decision(waiting)).To(BeNil(), "a slot that all know of, for which 1,000 others wait")
+	p.Done(now, second, pool.Served)
+	grant(g, waiting)
+}
