Refuse at once what stands behind too long a queue

Change: the wait behind the requests ahead, at the pace at which requests ended here lately, counts; late requests wait for a tenth of their time instead of a fifth. Requests that were sent before do not take turns, as their callers already receive or have waited.

Test: TestRefusalBehindLongQueue, which failed first.

--- a/core/pool/account.go
+++ b/core/pool/account.go
@@ -56,7 +56,7 @@
 	suspended time.Time
 	strikes   int
 	probing   bool
-	hearsay   bool // it is suspended for what other instances have seen
+	reported  bool // it is suspended for failures that other instances have reported
 }
 
 func (a *account) total() int { return a.running + a.others.running }
@@ -82,7 +82,7 @@
 	case Cancelled:
 		return
 	case Served:
-		a.strikes, a.hearsay = 0, false
+		a.strikes, a.reported = 0, false
 	case Failed:
 		// Marks the endpoint down, but does not suspend it: it works, and others may fail as often.
 		a.failures += failureWeight * (1 - a.failures)
@@ -97,7 +97,7 @@
 	a.failures += failureWeight * (failed - a.failures)
 	if failed == 1 && (a.failures > failureLimit || o == Unreachable || a.strikes > 0) && !now.Before(a.suspended) {
 		a.suspend(now, 1)
-		a.hearsay = false
+		a.reported = false
 	}
 }
 
@@ -114,14 +114,14 @@
 func (a *account) warn(now time.Time, failed bool, rng *rand.Rand) {
 	if !failed {
 		a.failures -= failureWeight * a.failures
-		if a.hearsay {
-			a.strikes, a.hearsay, a.suspended = 0, false, time.Time{}
+		if a.reported {
+			a.strikes, a.reported, a.suspended = 0, false, time.Time{}
 		}
 		return
 	}
 	a.failures += failureWeight * (1 - a.failures)
-	if a.strikes == 0 && a.failures > failureLimit || a.hearsay && !now.Before(a.suspended) {
+	if a.strikes == 0 && a.failures > failureLimit || a.reported && !now.Before(a.suspended) {
 		a.suspend(now, 1+suspendSpread*rng.Float64())
-		a.hearsay = true
+		a.reported = true
 	}
 }
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -24,9 +24,9 @@
 	// rankStep is how much longer than a request of the next more urgent rank one has to wait to come first. It is part
 	// of the objectives of 0.25 to 0.8 s, so that no rank waits for all others; 0.3 s served scale days worse.
 	rankStep = 100 * time.Millisecond
-	// lateWait is the part of the time to its deadline that a request may wait if it cannot be on time. Waits of 0.35
+	// lateWait is the part of the time to its deadline that a request may wait if it cannot be on time. Waits of a fifth
 	// and more held callers that were refused in the end.
-	lateWait = 0.2
+	lateWait = 0.1
 	// retryLeast and retryMost bound the time after which a refused caller may come back.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = 3 * time.Second
@@ -76,14 +76,18 @@
 	}
 	var moved []*Ticket
 	kept := p.queue[:0]
+	ahead := 0 // requests in the queue that can still be on time
 	for _, t := range p.queue {
 		switch d := p.decide(now, t); d := d.(type) {
 		case nil:
-			if !t.late && p.overdue(now, t) {
+			if !t.late && p.overdue(now, t, ahead) {
 				t.late = true
 				moved = append(moved, t)
 				continue
 			}
+			if !t.late {
+				ahead++
+			}
 			kept = append(kept, t)
 		case Refusal:
 			d.State = p.state(now)
@@ -101,8 +105,9 @@
 	}
 }
 
-// overdue reports whether a request cannot be on time any more even if it were sent now.
-func (p *Pool) overdue(now time.Time, t *Ticket) bool {
+// overdue reports whether a request cannot be on time any more, even if it were sent once those ahead of it have been,
+// as fast as requests ended here lately.
+func (p *Pool) overdue(now time.Time, t *Ticket, ahead int) bool {
 	if t.work.Objective.IsZero() {
 		return false
 	}
@@ -114,7 +119,8 @@
 			}
 		}
 	}
-	return now.Add(max(best, 0)).After(t.work.Objective)
+	wait := time.Duration(float64(ahead) * p.served.gap.value)
+	return now.Add(wait + max(best, 0)).After(t.work.Objective)
 }
 
 // decide returns a grant, a refusal, or nil if the request is to wait.
@@ -145,7 +151,11 @@
 		choices = append(choices, c)
 	}
 	p.choices = choices
-	best := p.best(now, choices)
+	place := p.place
+	if t.work.Resumed {
+		place = 0 // its caller has begun to receive, or has waited for another endpoint
+	}
+	best := p.best(choices, int(place*float64(p.unseen(now)+1)))
 	if best != nil && (free > p.ahead(t.work.Tier) || t.work.Resumed) {
 		return p.grant(now, best, t)
 	}
@@ -170,10 +180,10 @@
 
 // best returns the endpoint for a request, or nil. Other instances have sent requests since their last reports, and
 // others wait there; all choose from the same reports. So this instance takes a random place among them until its next
-// report, and each one before it is taken to have gone to the endpoint that was best then. Otherwise all would choose the
-// same few endpoints until the next report. Slots that this instance has given back since are known to it alone.
-func (p *Pool) best(now time.Time, choices []choice) *account {
-	for n := int(p.place * float64(p.unseen(now)+1)); n > 0; n-- {
+// report, and each of those before it is taken to have gone to the endpoint that was best then. Otherwise all would choose
+// the same few endpoints until the next report. Slots that this instance has given back since are known to it alone.
+func (p *Pool) best(choices []choice, before int) *account {
+	for range before {
 		c := least(choices, func(c *choice) bool { return c.seen > 0 })
 		if c == nil {
 			break
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -285,6 +285,32 @@
 	g.Expect(d.held).To(BeNumerically("<=", abandon/5+30*time.Millisecond))
 }
 
+// Load: a queue that is longer than the objective. Guards against a caller who is held until the objective has passed and
+// is refused then, although it was certain on arrival.
+func TestRefusalBehindLongQueue(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(endpoints(1, 1))
+	now := begin
+	submit := func() *pool.Ticket {
+		w := work(1, now)
+		w.Deadline = now.Add(2 * time.Second)
+		return p.Submit(now, w)
+	}
+	for range 30 { // one request every 100 ms
+		d := grant(g, submit())
+		now = now.Add(100 * time.Millisecond)
+		p.First(now, d)
+		p.Done(now, d, pool.Served)
+	}
+	for range 10 {
+		submit()
+	}
+	last := submit()
+	now = now.Add(210 * time.Millisecond)
+	p.Tick(now)
+	g.Expect(decision(last)).To(BeAssignableToTypeOf(pool.Refusal{}))
+}
+
 // Load: steady traffic below capacity at engines of unlike speed. Guards against requests that are refused or late while
 // there is room.
 func TestSteadyLoad(t *testing.T) {
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -100,13 +100,13 @@
 		if a := p.accounts[s.Endpoint]; a != nil {
 			p.model.first(a, s.Ahead, s.First)
 			if near {
-				a.warn(now, false, p.rng)
+				p.judge(now, a, func() { a.warn(now, false, p.rng) })
 			}
 		}
 	}
 	for _, id := range r.Failed {
 		if a := p.accounts[id]; a != nil && near {
-			a.warn(now, true, p.rng)
+			p.judge(now, a, func() { a.warn(now, true, p.rng) })
 		}
 	}
 	p.sum(now)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"monsoondale/core"
 )
 
@@ -123,6 +125,8 @@
 	Centre core.DataCentre // of this instance
 	// Seed makes choices differ between instances.
 	Seed uint64
+	// Log receives a line for each endpoint that is suspended or open again.
+	Log logr.Logger
 }
 
 // stepWeight is the weight of the newest stream in an endpoint's time between events.
@@ -268,7 +272,7 @@
 	if g.probe {
 		a.probing = false
 	}
-	a.judge(now, o)
+	p.judge(now, a, func() { a.judge(now, o) })
 	if (o == Broken || o == Unreachable) && len(p.failed) < reportSamples {
 		p.failed = append(p.failed, a.ID)
 	}
@@ -280,6 +284,18 @@
 	p.assign(now)
 }
 
+// judge updates the failure rate of an endpoint and logs what follows from it.
+func (p *Pool) judge(now time.Time, a *account, update func()) {
+	suspended, strikes := a.suspended, a.strikes
+	update()
+	switch {
+	case a.suspended.After(suspended):
+		p.o.Log.Info("endpoint suspended", "endpoint", a.ID, "span", a.suspended.Sub(now).String(), "row", a.strikes, "reported", a.reported)
+	case strikes > 0 && a.strikes == 0:
+		p.o.Log.Info("endpoint open", "endpoint", a.ID, "row", strikes)
+	}
+}
+
 // Waiting returns the number of requests that wait.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -507,7 +507,7 @@
 	}
 	for s := range lists {
 		if g.pools[s] == nil {
-			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name))})
+			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s)})
 		}
 	}
 	for s, p := range g.pools {
