Do not pass on entries that the store has removed

Cause: front-fi-south-a-10 had lost the store for 9 s, so it keeps removed entries for 1.8 s, as they may return. It applied later changes (revision 204) and gave others a copy as of 204 that still had the three endpoints removed at 198 to 200. They then asked for changes after 204 only, and kept the endpoints for ever (81 endpoints in force there, 78 at a-1). Nine instances sent requests to i-da1928b969 3 s after it left. Ruled out: deaf watches (none in these seconds), lost digests (all had the revision within 0.4 s), the choice of endpoints (the entry was in their lists). Change: while removed entries are kept, others get the copy before.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -126,6 +126,16 @@
 	return true
 }
 
+// Pending reports whether objects are kept that the store has removed, because they may return.
+func (m *Mirror) Pending() bool {
+	for _, e := range m.items {
+		if !e.missing.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire removes objects that have been missing for the grace period, and reports whether there were any.
 func (m *Mirror) Expire(now time.Time) bool {
 	changed := false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,6 +226,22 @@
 	complete int // revision since which gone has all removals
 }
 
+// snapshot returns a mirror's content for other instances. While it keeps objects that the store has removed, that is the
+// content before: a newer one would tell others that these objects exist as of a revision at which they do not, and they
+// would never hear of the removal.
+func snapshot(m *mirror.Mirror, before *shared) *shared {
+	if m.Pending() {
+		return before
+	}
+	items := m.Items()
+	w := &wire.Copy{Revision: int(m.Revision()), Items: make([]wire.Item, 0, len(items))}
+	for _, it := range items {
+		w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
+	}
+	gone, complete := m.Removed()
+	return &shared{whole: w, gone: gone, complete: int(complete)}
+}
+
 // after returns the whole copy, or what has changed after a revision.
 func (s *shared) after(rev int) wire.Copy {
 	if rev == 0 || rev < s.complete {
@@ -445,12 +461,7 @@
 func (g *Gateway) rebuild(now time.Time, c Collection, from string) {
 	m := g.mirrors[c]
 	items := m.Items()
-	w := &wire.Copy{Revision: int(m.Revision()), Items: make([]wire.Item, 0, len(items))}
-	for _, it := range items {
-		w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
-	}
-	gone, complete := m.Removed()
-	g.copies[c].Store(&shared{whole: w, gone: gone, complete: int(complete)})
+	g.copies[c].Store(snapshot(m, g.copies[c].Load()))
 	switch c {
 	case Configurations:
 		g.configure(now, items, from)
