Check that the caller is still connected before a request is sent

Cause: net/http notices a close by reading, in a goroutine that starts when the body has been read. A request that was read late, together with the close behind it, was sent before that goroutine ran, and on a reused connection even with a context that had ended. Why requests are read late does not matter: descriptors, accept queue, processor, link. Change: common/peerconn asks the kernel for the state of a connection without reading (poll, POLLRDHUP). io/proxy checks before the queue and io/endpoint.Do calls BeforeSend when it has a connection; nothing is sent to an endpoint without it. The listener replaces netutil.LimitListener, which hides the socket.

--- /dev/null
+++ b/common/peerconn/peerconn.go
@@ -0,0 +1,133 @@
+// Package peerconn tells when the peer of an accepted TCP connection has closed it. The server of net/http learns of it
+// only by reading, too late for a close that arrived together with the request.
+package peerconn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// ErrClosed is the cause of contexts that ended because the peer closed the connection.
+var ErrClosed = errors.New("connection closed by the peer")
+
+// Listener accepts TCP connections and limits the number of those that are open.
+type Listener struct {
+	net.Listener
+	slots  chan struct{} // one element for each open connection
+	closed chan struct{}
+	once   sync.Once
+}
+
+// NewListener returns a listener with at most maxOpen open connections. Further connections wait to be accepted.
+func NewListener(l net.Listener, maxOpen int) *Listener {
+	return &Listener{Listener: l, slots: make(chan struct{}, maxOpen), closed: make(chan struct{})}
+}
+
+// Accept waits for a connection. It returns a *Conn.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	conn := &Conn{Conn: c, listener: l}
+	if sc, ok := c.(syscall.Conn); ok {
+		if conn.raw, err = sc.SyscallConn(); err != nil {
+			conn.Close()
+			return nil, errors.Wrap(err, "accepted connection")
+		}
+	}
+	return conn, nil
+}
+
+// Close closes the listener. Open connections stay open.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Conn is an accepted connection.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	raw      syscall.RawConn // nil if the connection has no socket
+	once     sync.Once
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.once.Do(func() { <-c.listener.slots })
+	return c.Conn.Close()
+}
+
+// PeerClosed reports whether the peer has closed or reset the connection, or its sending side, even if bytes that it sent
+// before have not been read.
+func (c *Conn) PeerClosed() bool {
+	if c.raw == nil {
+		return false
+	}
+	closed := false
+	err := c.raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		closed = err == nil && n > 0
+	})
+	return closed || err != nil // Control fails only on connections that are closed
+}
+
+type contextKey int
+
+const (
+	connKey contextKey = iota
+	watchKey
+)
+
+// WithConn returns a context for the requests on a connection. It has the signature of http.Server.ConnContext.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok { // TLS
+		c = t.NetConn()
+	}
+	if c, ok := c.(*Conn); ok {
+		return context.WithValue(ctx, connKey, c)
+	}
+	return ctx
+}
+
+// watch is a request whose context ends with the connection.
+type watch struct {
+	conn   *Conn
+	cancel context.CancelCauseFunc
+}
+
+// Watch returns a copy of a request's context for Closed. stop releases its resources.
+func Watch(ctx context.Context) (watched context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	c, ok := ctx.Value(connKey).(*Conn)
+	if !ok {
+		return ctx, func() { cancel(nil) }
+	}
+	return context.WithValue(ctx, watchKey, &watch{conn: c, cancel: cancel}), func() { cancel(nil) }
+}
+
+// Closed reports whether a context of Watch has ended or the peer has closed its connection, which then ends the context.
+func Closed(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	w, ok := ctx.Value(watchKey).(*watch)
+	if !ok || !w.conn.PeerClosed() {
+		return false
+	}
+	w.cancel(ErrClosed)
+	return true
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
-	"golang.org/x/net/netutil"
 
+	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/mirror"
 	"monsoondale/core/pool"
@@ -212,7 +212,8 @@
 		}
 		if l.callers {
 			maxConnections := max(int(descriptorShare*float64(s.MaxDescriptors)), 1)
-			ln = netutil.LimitListener(ln, maxConnections)
+			ln = peerconn.NewListener(ln, maxConnections)
+			srv.ConnContext = peerconn.WithConn
 			srv.ConnState = g.proxy.TrackConnections(int(closingShare * float64(maxConnections)))
 		}
 		g.servers = append(g.servers, srv)
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -73,6 +73,9 @@
 	Body   []byte
 	// NonIdempotent marks a request that must not be sent on a connection that has been idle for long.
 	NonIdempotent bool
+	// BeforeSend is called when a connection is available, immediately before the request is sent. After an error, nothing
+	// is sent. May be nil.
+	BeforeSend func() error
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -124,6 +127,10 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
+	if err := r.beforeSend(ctx); err != nil {
+		cn.Close()
+		return nil, &NotSentError{Cause: err}
+	}
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	resp.stop = context.AfterFunc(ctx, func() { cn.SetDeadline(past) })
 	var sent int
@@ -169,6 +176,17 @@
 	return nil, errors.WithStack(ErrMismatchedResponse)
 }
 
+// beforeSend returns why the request must not be sent any more, or nil.
+func (r *Request) beforeSend(ctx context.Context) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if r.BeforeSend == nil {
+		return nil
+	}
+	return r.BeforeSend()
+}
+
 // encode returns the request in HTTP/1.1 format.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -194,3 +194,46 @@
 	g.Eventually(readErrs, "2s").Should(Receive(&readErr))
 	g.Expect(errors.Is(readErr, syscall.ECONNRESET)).To(BeTrue(), "%v", readErr)
 }
+
+// Guards against sending a request that was cancelled, or whose caller left, while it waited for a connection.
+func TestNothingIsSentAfterCancellation(t *testing.T) {
+	errLeft := errors.New("caller left")
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, c := range []struct {
+		name       string
+		ctx        context.Context
+		beforeSend func() error
+		want       error
+	}{
+		{"context ended", cancelled, nil, context.Canceled},
+		{"refused before sending", context.Background(), func() error { return errLeft }, errLeft},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			requests := make(chan string, 10)
+			address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					requests <- req.RequestURI
+					respond(conn, "r1", "", "")
+				}
+			})
+			client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"})
+			// Leaves an idle connection, on which a request could be sent without waiting.
+			_, _, err := roundTrip(client, address, "r1", false, 0)
+			g.Expect(err).ToNot(HaveOccurred())
+			g.Expect(requests).To(Receive())
+			ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+			defer cancel()
+			_, err = client.Do(ctx, address, endpoint.Request{ID: "r2", Method: "GET", Target: "/r2", Host: "h", Header: http.Header{}, BeforeSend: c.beforeSend})
+			var unsent *endpoint.NotSentError
+			g.Expect(errors.As(err, &unsent)).To(BeTrue(), "%v", err)
+			g.Expect(errors.Is(err, c.want)).To(BeTrue(), "%v", err)
+			g.Consistently(requests, "50ms").ShouldNot(Receive())
+		})
+	}
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"monsoondale/common/peerconn"
 	"monsoondale/core/pool"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
@@ -100,12 +101,18 @@
 	resp, err := x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
+		BeforeSend: func() error {
+			if x.callerLeft() {
+				return peerconn.ErrClosed
+			}
+			return nil
+		},
 	})
 	var unsent *endpoint.NotSentError
 	switch {
 	case errors.As(err, &unsent):
 		x.cause = err
-		if a.ctx.Err() == nil {
+		if a.ctx.Err() == nil && !errors.Is(err, peerconn.ErrClosed) {
 			a.outcome = pool.Unreachable
 		}
 		return x.handleNotRun(a.ctx, "endpoint unreachable")
@@ -161,7 +168,7 @@
 // handleNotRun decides whether a request that an endpoint did not run is sent to another one.
 func (x *exchange) handleNotRun(ctx context.Context, reason string) (result, bool) {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		return x.endForCallerLeft(), false
 	// The context has ended at the deadline, unless the response timer cancelled it.
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errNoResponse), time.Until(x.deadline) < minTimeForRetry:
@@ -192,7 +199,7 @@
 	}
 	x.cause = err
 	// An at-most-once request continues after its caller has disconnected; see workContext.
-	if x.r.Context().Err() != nil && x.route.Kind != route.AtMostOnce {
+	if x.callerLeft() && x.route.Kind != route.AtMostOnce {
 		return x.endForCallerLeft(), false
 	}
 	if errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline) {
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/pool"
 	"monsoondale/core/route"
@@ -193,6 +194,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	ctx, stop := peerconn.Watch(r.Context())
+	defer stop()
+	r = r.WithContext(ctx)
 	x := &exchange{handler: h, w: w, r: r, rc: http.NewResponseController(w), info: h.o.Headers.ParseRequest(r.Header), config: h.o.Config(), arrived: time.Now()}
 	x.lastEventID = x.info.LastEventID
 	if limit := h.keepAliveLimit.Load(); h.keepAlivesOff.Load() || limit > 0 && h.openConns.Load() > limit {
@@ -280,6 +284,9 @@
 		return r
 	}
 	x.setDeadlines()
+	if x.callerLeft() {
+		return x.endForCallerLeft()
+	}
 	x.service = x.route.PickService(xxhash.Sum64String(string(x.info.ID)))
 	x.pool = x.config.Pools[x.service]
 	x.handler.o.Budgets.CountRequest(x.service)
@@ -391,7 +398,7 @@
 
 // acquireEndpoint waits until the pool grants an endpoint. The grant is nil if the request has ended.
 func (x *exchange) acquireEndpoint(ctx context.Context) (*pool.Grant, result) {
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		return nil, x.endForCallerLeft()
 	}
 	start := time.Now()
@@ -436,6 +443,9 @@
 	return x.refuse(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
+// callerLeft reports whether the caller has closed the connection.
+func (x *exchange) callerLeft() bool { return peerconn.Closed(x.r.Context()) }
+
 // endForCallerLeft ends a request whose caller has disconnected.
 func (x *exchange) endForCallerLeft() result {
 	if x.possibleRuns == 0 && x.takenUnits > 0 {
