Log and count what a request waited for when its caller left

The log could not tell a request that was found abandoned from one that was abandoned while it ran, and no metric showed how many connections of callers are open. Lines with status 499 get left (arrival, queue, connect, run), with a counter for each; callers_open is a gauge.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -98,6 +98,7 @@
 	}
 	h := forwardHeader(x.r.Header)
 	x.handler.o.Headers.SetForwardHeaders(h, forwardInfo)
+	x.stage = stageConnect
 	resp, err := x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
@@ -105,6 +106,7 @@
 			if x.callerLeft() {
 				return peerconn.ErrClosed
 			}
+			x.stage = stageRun
 			return nil
 		},
 	})
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -141,6 +141,7 @@
 // are open, responses ask the caller to close the connection.
 func (h *Handler) TrackConnections(keepAliveLimit int) func(net.Conn, http.ConnState) {
 	h.keepAliveLimit.Store(int64(max(keepAliveLimit, 1)))
+	metrics.NewRegisteredFunctionalGauge("callers.open", h.o.Metrics, h.openConns.Load)
 	return func(_ net.Conn, s http.ConnState) {
 		switch s {
 		case http.StateNew:
@@ -182,6 +183,7 @@
 	lastEventID     string            // id of the last event that was written to the caller, or that its request states
 	firstByte       time.Time         // when the response or its first event was written
 	endpointID      core.EndpointID
+	stage           stage
 	queueTime       time.Duration
 	expectedLatency time.Duration // to the first event, as predicted by the pool
 	endpointLoad    int           // number of requests at the endpoint when it was chosen
@@ -190,6 +192,16 @@
 	cause           error
 }
 
+// stage is what a request waits for. Logs and metrics show the one in which the caller left.
+type stage string
+
+const (
+	stageArrival stage = "arrival" // its body
+	stageQueue   stage = "queue"   // an endpoint
+	stageConnect stage = "connect" // a connection to the endpoint
+	stageRun     stage = "run"     // the response
+)
+
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
@@ -197,7 +209,7 @@
 	ctx, stop := peerconn.Watch(r.Context())
 	defer stop()
 	r = r.WithContext(ctx)
-	x := &exchange{handler: h, w: w, r: r, rc: http.NewResponseController(w), info: h.o.Headers.ParseRequest(r.Header), config: h.o.Config(), arrived: time.Now()}
+	x := &exchange{handler: h, w: w, r: r, rc: http.NewResponseController(w), info: h.o.Headers.ParseRequest(r.Header), config: h.o.Config(), arrived: time.Now(), stage: stageArrival}
 	x.lastEventID = x.info.LastEventID
 	if limit := h.keepAliveLimit.Load(); h.keepAlivesOff.Load() || limit > 0 && h.openConns.Load() > limit {
 		w.Header().Set("Connection", "close")
@@ -401,6 +413,7 @@
 	if x.callerLeft() {
 		return nil, x.endForCallerLeft()
 	}
+	x.stage = stageQueue
 	start := time.Now()
 	t := x.pool.Submit(start, pool.Request{
 		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -70,6 +70,10 @@
 	if x.lastEventID != "" {
 		values = append(values, "last", x.lastEventID)
 	}
+	if r.status == statusCallerLeft {
+		metrics.GetOrRegisterCounter("request.left."+string(x.stage), s.registry).Inc(1)
+		values = append(values, "left", x.stage)
+	}
 	if x.cause != nil {
 		values = append(values, "cause", x.cause.Error())
 	}
