Notice a caller's close behind bytes of its next request

What callers cause: a caller that has sent the next request, or a byte of it, and leaves, keeps an endpoint at work until the current response is complete. Cause: the goroutine of net/http that notices a close reads one byte; if it gets one, it reads no further until the request has ended. Change: while a request runs, its connection is checked every 100 ms if no call of Read is in progress; the request's context ends with it. Connections with a Read in progress, nearly all, cost nothing but a look at a counter.

--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -1,17 +1,22 @@
 // Package peerconn tells when the peer of an accepted TCP connection has closed it. The server of net/http learns of it
-// only by reading, too late for a close that arrived together with the request.
+// only by reading, so it misses a close that arrived together with the request, or behind bytes of the next request.
 package peerconn
 
 import (
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
+// checkInterval is the time between two checks of the connections from which nobody reads.
+const checkInterval = 100 * time.Millisecond
+
 // ErrClosed is the cause of contexts that ended because the peer closed the connection.
 var ErrClosed = errors.New("connection closed by the peer")
 
@@ -21,11 +26,15 @@
 	slots  chan struct{} // one element for each open connection
 	closed chan struct{}
 	once   sync.Once
+
+	mu       sync.Mutex
+	watches  map[*watch]struct{}
+	checking bool // a goroutine checks the watches
 }
 
 // NewListener returns a listener with at most maxOpen open connections. Further connections wait to be accepted.
 func NewListener(l net.Listener, maxOpen int) *Listener {
-	return &Listener{Listener: l, slots: make(chan struct{}, maxOpen), closed: make(chan struct{})}
+	return &Listener{Listener: l, slots: make(chan struct{}, maxOpen), closed: make(chan struct{}), watches: map[*watch]struct{}{}}
 }
 
 // Accept waits for a connection. It returns a *Conn.
@@ -61,9 +70,17 @@
 	net.Conn
 	listener *Listener
 	raw      syscall.RawConn // nil if the connection has no socket
+	reading  atomic.Int32    // number of calls of Read in progress
 	once     sync.Once
 }
 
+// Read reads from the connection.
+func (c *Conn) Read(b []byte) (int, error) {
+	c.reading.Add(1)
+	defer c.reading.Add(-1)
+	return c.Conn.Read(b)
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.once.Do(func() { <-c.listener.slots })
@@ -103,20 +120,35 @@
 	return ctx
 }
 
-// watch is a request whose context ends with the connection.
+// watch is a request during which the connection is checked.
 type watch struct {
 	conn   *Conn
 	cancel context.CancelCauseFunc
 }
 
-// Watch returns a copy of a request's context for Closed. stop releases its resources.
+// Watch returns a copy of a request's context that also ends, with the cause ErrClosed, when the peer has closed the
+// connection. The context ends without that if WithConn has not been applied. stop releases the resources.
 func Watch(ctx context.Context) (watched context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	c, ok := ctx.Value(connKey).(*Conn)
 	if !ok {
 		return ctx, func() { cancel(nil) }
 	}
-	return context.WithValue(ctx, watchKey, &watch{conn: c, cancel: cancel}), func() { cancel(nil) }
+	w := &watch{conn: c, cancel: cancel}
+	l := c.listener
+	l.mu.Lock()
+	l.watches[w] = struct{}{}
+	if !l.checking {
+		l.checking = true
+		go l.check()
+	}
+	l.mu.Unlock()
+	return context.WithValue(ctx, watchKey, w), func() {
+		l.mu.Lock()
+		delete(l.watches, w)
+		l.mu.Unlock()
+		cancel(nil)
+	}
 }
 
 // Closed reports whether a context of Watch has ended or the peer has closed its connection, which then ends the context.
@@ -131,3 +163,30 @@
 	w.cancel(ErrClosed)
 	return true
 }
+
+// check checks the connections of the watches until there are none.
+func (l *Listener) check() {
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for range t.C {
+		l.mu.Lock()
+		if len(l.watches) == 0 {
+			l.checking = false
+			l.mu.Unlock()
+			return
+		}
+		var unread []*watch
+		for w := range l.watches {
+			// A call of Read notices the close itself.
+			if w.conn.reading.Load() == 0 {
+				unread = append(unread, w)
+			}
+		}
+		l.mu.Unlock()
+		for _, w := range unread {
+			if w.conn.PeerClosed() {
+				w.cancel(ErrClosed)
+			}
+		}
+	}
+}
--- a/common/peerconn/peerconn_test.go
+++ b/common/peerconn/peerconn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -99,3 +100,31 @@
 	first.Close() // gives back one place only
 	g.Eventually(accepted, "1s").Should(Receive())
 }
+
+// Guards against a close that nobody notices because nobody reads from the connection.
+func TestWatchEndsWithConnection(t *testing.T) {
+	g := NewWithT(t)
+	peer, accepted := accept(t)
+	ctx, stop := peerconn.Watch(peerconn.WithConn(context.Background(), accepted))
+	defer stop()
+	fmt.Fprint(peer, "bytes of the next request")
+	g.Consistently(ctx.Done(), "300ms").ShouldNot(BeClosed())
+	peer.Close()
+	g.Eventually(ctx.Done(), "400ms").Should(BeClosed())
+	g.Expect(context.Cause(ctx)).To(Equal(peerconn.ErrClosed))
+}
+
+// Guards against checks that go on without requests, and against checks that do not start again.
+func TestWatchesStartAndStopChecks(t *testing.T) {
+	g := NewWithT(t)
+	peer, accepted := accept(t)
+	withConn := peerconn.WithConn(context.Background(), accepted)
+	before := runtime.NumGoroutine()
+	_, stop := peerconn.Watch(withConn)
+	stop()
+	g.Eventually(runtime.NumGoroutine, "1s").Should(BeNumerically("<=", before))
+	ctx, stop := peerconn.Watch(withConn)
+	defer stop()
+	peer.Close()
+	g.Eventually(ctx.Done(), "400ms").Should(BeClosed())
+}
