--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -94,14 +94,26 @@
 		return false
 	}
 	closed := false
-	err := c.raw.Control(func(fd uintptr) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(p, 0)
-		closed = err == nil && n > 0
-	})
+	err := c.raw.Control(func(fd uintptr) { closed = peerClosed(int(fd)) })
 	return closed || err != nil // Control fails only on connections that are closed
 }
 
+// peerClosed reports whether the peer of a socket has closed or reset it, or its sending side.
+func peerClosed(fd int) bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return false
+	case err != nil || n == 0:
+		return true
+	}
+	// A close may follow the unread bytes.
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err = unix.Poll(p, 0)
+	return err == nil && n > 0
+}
+
 type contextKey int
 
 const (
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -410,7 +410,7 @@
 
 // acquireEndpoint waits until the pool grants an endpoint. The grant is nil if the request has ended.
 func (x *exchange) acquireEndpoint(ctx context.Context) (*pool.Grant, result) {
-	if x.callerLeft() {
+	if x.r.Context().Err() != nil {
 		return nil, x.endForCallerLeft()
 	}
 	x.stage = stageQueue
