io/endpoint: limit the size of response headers

Cause: http.ReadResponse reads a header of any size. Change: at most 32 KiB are read for one header (status line, informational responses and any bytes that are none included); the attempt then fails like one with an invalid response. Skipped bodies are limited to 64 KiB. Trailers and chunk extensions were limited already, by the read buffer.

--- /dev/null
+++ b/io/endpoint/endless_test.go
@@ -0,0 +1,68 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"monsoondale/io/endpoint"
+)
+
+// Guards against memory use without limit when a faulty endpoint sends a header, a trailer or other bytes without end.
+func TestEndlessResponse(t *testing.T) {
+	const (
+		endless = 64 << 20 // bytes that the endpoint sends, more than any limit
+		allowed = 4 << 20  // bytes that may leave it, those in the buffers of the kernel included
+	)
+	const ok = "HTTP/1.1 200 OK\r\nEcho: r1\r\n"
+	for _, c := range []struct {
+		name   string
+		start  string
+		repeat string
+	}{
+		{"header value", ok + "Long: ", "x"},
+		{"header lines", ok, "A: b\r\n"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"no response", "", "x"},
+		{"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"responses to another request", "", "HTTP/1.1 200 OK\r\nEcho: r0\r\nContent-Length: 2\r\n\r\nno"},
+		{"body of a response to another request", "HTTP/1.1 200 OK\r\nEcho: r0\r\n\r\n", "x"},
+		{"trailer", ok + "Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n0\r\nT: ", "x"},
+		{"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sent := make(chan int, 1)
+			address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				n, err := conn.Write([]byte(c.start))
+				block := []byte(strings.Repeat(c.repeat, 64<<10/len(c.repeat)))
+				for err == nil && n < endless {
+					var m int
+					m, err = conn.Write(block)
+					n += m
+				}
+				sent <- n
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			resp, err := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"}).Do(ctx, address, endpoint.Request{ID: "r1", Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				resp.Close()
+			}
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(ctx.Err()).ToNot(HaveOccurred(), "ended by the time limit only")
+			g.Eventually(sent, "5s").Should(Receive(BeNumerically("<", allowed)))
+		})
+	}
+}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -40,8 +40,15 @@
 	maxResponsesRead = 4
 	// readBufferBytes is the size of the read buffer of a connection; an event of a stream has a few hundred bytes.
 	readBufferBytes = 4 << 10
+	// maxHeaderBytes is the size of the largest response header, with the status line. Callers may send half of it.
+	maxHeaderBytes = 32 << 10
+	// maxSkippedBytes is the size of the largest body that is skipped because the response belongs to another request.
+	maxSkippedBytes = 64 << 10
 )
 
+// errHeaderTooLarge reports a response whose header exceeds maxHeaderBytes.
+var errHeaderTooLarge = errors.New("response header is too large")
+
 // NotSentError is an error that guarantees that no byte of the request was sent.
 type NotSentError struct{ Cause error }
 
@@ -87,11 +94,38 @@
 
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
+	r         *bufio.Reader // reads from Conn through headerLimiter
+	limiter   *headerLimiter
 	expires   time.Time // when the connection must no longer be used
 	idleSince time.Time
 }
 
+// headerLimiter limits the number of bytes that are read from a connection while a header is expected.
+type headerLimiter struct {
+	conn    net.Conn
+	limited bool
+	left    int // if limited
+}
+
+func (l *headerLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.conn.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readResponse reads the header of a response of limited size.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.limiter.limited, c.limiter.left = true, maxHeaderBytes
+	defer func() { c.limiter.limited = false }()
+	return http.ReadResponse(c.r, &http.Request{Method: method})
+}
+
 // New returns a Client.
 func New(o Options) *Client {
 	if o.MaxIdle <= 0 {
@@ -151,7 +185,7 @@
 		}()
 	}
 	for range maxResponsesRead {
-		hr, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
+		hr, err := cn.readResponse(r.Method)
 		if err != nil {
 			resp.Close()
 			if cause := context.Cause(ctx); cause != nil {
@@ -163,7 +197,11 @@
 			continue
 		}
 		if id := hr.Header.Get(c.o.RequestIDHeader); id != "" && id != string(r.ID) {
-			if _, err := io.Copy(io.Discard, io.LimitReader(hr.Body, 1<<20)); err != nil {
+			n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, maxSkippedBytes))
+			if err == nil && n == maxSkippedBytes {
+				err = ErrMismatchedResponse
+			}
+			if err != nil {
 				resp.Close()
 				return nil, errors.Wrap(err, "skip response to another request")
 			}
@@ -219,7 +257,8 @@
 	if err != nil {
 		return nil, false, errors.WithStack(err)
 	}
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBufferBytes)}, false, nil
+	l := &headerLimiter{conn: n}
+	return &conn{Conn: n, r: bufio.NewReaderSize(l, readBufferBytes), limiter: l}, false, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to an address, or nil if there is no suitable one.
