--- a/instance/network.go
+++ b/instance/network.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"monsoondale/common/bounded"
 )
 
 // Network opens the listeners and connections of an instance. A failed connection attempt must be reported as a
@@ -38,8 +40,9 @@
 			defer cancel()
 			return n.DialContext(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: conns,
-		MaxConnsPerHost:     conns,
-		IdleConnTimeout:     time.Minute,
+		MaxIdleConnsPerHost:    conns,
+		MaxConnsPerHost:        conns,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}
 }
--- a/io/endpoint/endless_test.go
+++ b/io/endpoint/endless_test.go
@@ -1,26 +1,21 @@
 package endpoint_test
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"monsoondale/internal/fake/endless"
 	"monsoondale/io/endpoint"
 )
 
 // Guards against memory use without limit when a faulty endpoint sends a header, a trailer or other bytes without end.
 func TestEndlessResponse(t *testing.T) {
-	const (
-		endless = 64 << 20 // bytes that the endpoint sends, more than any limit
-		allowed = 4 << 20  // bytes that may leave it, those in the buffers of the kernel included
-	)
+	const allowed = 4 << 20 // bytes that may leave the endpoint, those in kernel buffers included
 	const ok = "HTTP/1.1 200 OK\r\nEcho: r1\r\n"
 	for _, c := range []struct {
 		name   string
@@ -39,30 +34,17 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			sent := make(chan int, 1)
-			address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
-				if _, err := http.ReadRequest(r); err != nil {
-					return
-				}
-				n, err := conn.Write([]byte(c.start))
-				block := []byte(strings.Repeat(c.repeat, 64<<10/len(c.repeat)))
-				for err == nil && n < endless {
-					var m int
-					m, err = conn.Write(block)
-					n += m
-				}
-				sent <- n
-			})
+			e := endless.Start(t, c.start, c.repeat)
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			resp, err := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"}).Do(ctx, address, endpoint.Request{ID: "r1", Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			resp, err := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"}).Do(ctx, e.Address, endpoint.Request{ID: "r1", Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 			if err == nil {
 				_, err = io.Copy(io.Discard, resp.Body)
 				resp.Close()
 			}
 			g.Expect(err).To(HaveOccurred())
 			g.Expect(ctx.Err()).ToNot(HaveOccurred(), "ended by the time limit only")
-			g.Eventually(sent, "5s").Should(Receive(BeNumerically("<", allowed)))
+			g.Eventually(e.Sent, "5s").Should(Receive(BeNumerically("<", allowed)))
 		})
 	}
 }
--- a/io/instancelist/instancelist.go
+++ b/io/instancelist/instancelist.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"monsoondale/common/bounded"
 	"monsoondale/wire/platform"
 )
 
@@ -33,7 +34,7 @@
 		timeout = 2 * time.Second
 	}
 	if rt == nil {
-		rt = &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+		rt = &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bounded.MaxHeaderBytes}
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), timeout: timeout, http: &http.Client{Transport: rt}}
 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"monsoondale/common/bounded"
 	"monsoondale/wire/mesh"
 )
 
@@ -20,8 +20,10 @@
 	maxDatagramBytes = 60 << 10
 	// fetchTimeout is the time limit for fetching a copy, which takes milliseconds between instances of a region.
 	fetchTimeout = time.Second
-	// maxCopyBytes is the size of the largest copy of a collection.
-	maxCopyBytes = 32 << 20
+	// maxCopyBytes is the size of the largest copy of a collection; 3,600 endpoints take about 2 MB.
+	maxCopyBytes = 8 << 20
+	// maxHeaderBytes is the size of the largest header of a request for a copy.
+	maxHeaderBytes = 8 << 10
 	// receiveBufferBytes is the size of the receive buffer of the socket. It holds the digests of several hundred instances.
 	receiveBufferBytes = 512 << 10
 )
@@ -64,10 +66,10 @@
 		udp.Close()
 		return nil, errors.Wrap(err, "listen for copies")
 	}
-	m := &Mesh{o: o, udp: udp, client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	m := &Mesh{o: o, udp: udp, client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeaderBytes}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /copy/{collection}", m.serveCopy)
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchTimeout, WriteTimeout: 5 * fetchTimeout}
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchTimeout, WriteTimeout: 5 * fetchTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go m.server.Serve(l) // ends with Close
 	go m.receive()
 	return m, nil
@@ -139,5 +141,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return c, errors.Errorf("fetch copy: status %d", resp.StatusCode)
 	}
-	return c, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxCopyBytes)).Decode(&c), "decode copy")
+	b, err := bounded.ReadAll(resp.Body, maxCopyBytes)
+	if err != nil {
+		return c, errors.Wrap(err, "read copy")
+	}
+	return c, errors.Wrap(json.Unmarshal(b, &c), "decode copy")
 }
--- a/io/objectapi/objectapi.go
+++ b/io/objectapi/objectapi.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"monsoondale/common/bounded"
 	"monsoondale/core"
 	"monsoondale/core/object"
 	"monsoondale/wire/platform"
@@ -67,10 +68,11 @@
 	}
 	if o.Transport == nil {
 		o.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 64,
-			MaxConnsPerHost:     64,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost:    64,
+			MaxConnsPerHost:        64,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 		}
 	}
 	o.BaseURL = strings.TrimSuffix(o.BaseURL, "/")
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -16,11 +15,15 @@
 
 	"github.com/pkg/errors"
 
+	"monsoondale/common/bounded"
 	"monsoondale/core"
 	"monsoondale/core/workspace"
 	wire "monsoondale/wire/operator"
 )
 
+// maxResponseBytes is the size of the largest response; a report has a row for each of up to 48,000 workspaces.
+const maxResponseBytes = 128 << 20
+
 // Client calls the operator API of one instance.
 type Client struct {
 	base, key string
@@ -179,7 +182,7 @@
 		return out, errors.Wrap(err, "call the operator API")
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	b, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return out, errors.Wrap(err, "read the response of the operator API")
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"monsoondale/common/bounded"
 	wire "monsoondale/wire/peer"
 )
 
@@ -76,9 +77,10 @@
 	}
 	var p http.Protocols
 	t := &http.Transport{
-		Protocols:       &p,
-		DialContext:     o.dial,
-		IdleConnTimeout: idleTimeout,
+		Protocols:              &p,
+		DialContext:            o.dial,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingAfter,
 			PingTimeout:     pingTimeout,
