io/proxy: count complete events, not bytes, as progress of a stream

Cause: the limit on silence of a resumable stream began anew with each read. An endpoint that sent bytes that complete no event kept the request until its deadline, although another endpoint could serve it; each such stream could take 1 MiB and twice that while its buffer grew. Change: the limit counts from the last complete event, and an event has 64 KiB at most. TestEndlessBody/slow_event failed before (504 at the deadline of 3 s); the other two cases passed.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -25,8 +25,8 @@
 	// failed in every burst.
 	responseTimeoutFactor = 4
 	minResponseTimeout    = 650 * time.Millisecond
-	// streamSilenceTimeout is the pause after the first bytes of a resumable stream after which another endpoint
-	// continues it. Callers abandon a silent stream after two seconds or more.
+	// streamSilenceTimeout is the time without a complete event, after the first bytes of a resumable stream, after which
+	// another endpoint continues it. Callers abandon a silent stream after two seconds or more.
 	streamSilenceTimeout = 1200 * time.Millisecond
 	// minTimeForRetry is the time left until the deadline below which a request is not retried.
 	minTimeForRetry = 20 * time.Millisecond
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -16,8 +16,9 @@
 const (
 	// streamBufferBytes is the initial size of the buffer into which events are read; it grows for larger events.
 	streamBufferBytes = 2 << 10
-	// maxEventBytes is the size of the largest event that is relayed.
-	maxEventBytes = 1 << 20
+	// maxEventBytes is the size of the largest event that is relayed. An event has a few hundred bytes, and instances with
+	// 112 MB relay hundreds of streams at once.
+	maxEventBytes = 64 << 10
 )
 
 // relayStream relays the events of a response as they arrive. It relays only complete events, so that another endpoint
@@ -29,7 +30,8 @@
 		numbered  int // number of events with an id; only the intervals between these are recorded
 		firstRead time.Time
 		lastRead  time.Time
-		endErr    error // why the stream ended; io.EOF if it is complete
+		lastEvent time.Time // when the last complete event was relayed, or the first bytes were read
+		endErr    error     // why the stream ended; io.EOF if it is complete
 	)
 	defer func() {
 		if numbered > 1 {
@@ -38,7 +40,8 @@
 	}()
 	for endErr == nil {
 		if !firstRead.IsZero() && x.route.Resumable {
-			resp.SetReadDeadline(time.Now().Add(streamSilenceTimeout)) // fails only on closed connections
+			// Bytes that complete no event are no progress.
+			resp.SetReadDeadline(lastEvent.Add(streamSilenceTimeout)) // fails only on closed connections
 		}
 		buf = ensureSpace(buf)
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
@@ -47,7 +50,7 @@
 		if n > 0 {
 			lastRead = time.Now()
 			if firstRead.IsZero() {
-				firstRead = lastRead
+				firstRead, lastEvent = lastRead, lastRead
 				a.recordResponseStart()
 			}
 		}
@@ -62,6 +65,7 @@
 				return x.endForCallerLeft(), false
 			}
 			x.lastEventID = last
+			lastEvent = time.Now()
 			buf = append(buf[:0], buf[completeLen:]...)
 		}
 		if scanErr != nil {
