io/proxy: do not wait for the rest of a rejection

Cause: after a rejection or a response of another endpoint, the body was read to its end, or 1 MiB, before the request was sent to another endpoint. A body without end held an order that had not run until its deadline. Change: 20 ms and 16 KiB; the connection is not reused otherwise. TestEndlessBody/slow_rejection and /slow_answer_of_another_endpoint failed before (504 at the deadline of 3 s).

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -19,6 +19,10 @@
 const (
 	// maxBufferedBytes is the size of the largest response that is buffered. A larger one counts as broken.
 	maxBufferedBytes = 1 << 20
+	// maxDiscardedBytes and discardTimeout limit the reading of a response that is not relayed. Such a body is a short text
+	// that arrives with the header.
+	maxDiscardedBytes = 16 << 10
+	discardTimeout    = 20 * time.Millisecond
 	// responseTimeoutFactor and minResponseTimeout determine how long to wait for a response to begin before another
 	// endpoint is tried: a multiple of the latency that the pool predicts, but at least about a third of the two seconds
 	// or more after which callers give up. With a minimum of 400 ms, endpoints that were only busy were treated as
@@ -160,9 +164,11 @@
 	return max(responseTimeoutFactor*g.ExpectedLatency, minResponseTimeout)
 }
 
-// discardBody reads a response that is not relayed, so that its connection can be reused.
+// discardBody reads a response that is not relayed, so that its connection can be reused. It gives up if the body is long
+// or late, because another endpoint can serve the request.
 func (a *attempt) discardBody() {
-	if n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxBufferedBytes)); err == nil && n < maxBufferedBytes {
+	a.resp.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only on closed connections
+	if n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxDiscardedBytes)); err == nil && n < maxDiscardedBytes {
 		a.resp.MarkBodyRead()
 	}
 }
