serve: check that the caller is still connected before a dispatch

Change: the listener for callers is a peerconn.Listener without a limit; the runner asks Request.CallerLeft before each dispatch. An order is then 'not run' and its claim is void; an order that was dispatched still runs to its end.

--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -23,7 +23,7 @@
 // Listener accepts TCP connections and limits the number of those that are open.
 type Listener struct {
 	net.Listener
-	slots  chan struct{} // one element for each open connection
+	slots  chan struct{} // one element for each open connection; nil if their number is not limited
 	closed chan struct{}
 	once   sync.Once
 
@@ -32,21 +32,28 @@
 	checking bool // a goroutine checks the watches
 }
 
-// NewListener returns a listener with at most maxOpen open connections. Further connections wait to be accepted.
+// NewListener returns a listener with at most maxOpen open connections, or any number if it is 0. Further connections wait
+// to be accepted.
 func NewListener(l net.Listener, maxOpen int) *Listener {
-	return &Listener{Listener: l, slots: make(chan struct{}, maxOpen), closed: make(chan struct{}), watches: map[*watch]struct{}{}}
+	var slots chan struct{}
+	if maxOpen > 0 {
+		slots = make(chan struct{}, maxOpen)
+	}
+	return &Listener{Listener: l, slots: slots, closed: make(chan struct{}), watches: map[*watch]struct{}{}}
 }
 
 // Accept waits for a connection. It returns a *Conn.
 func (l *Listener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+	if l.slots != nil {
+		select {
+		case l.slots <- struct{}{}:
+		case <-l.closed:
+			return nil, net.ErrClosed
+		}
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
-		<-l.slots
+		l.release()
 		return nil, err
 	}
 	conn := &Conn{Conn: c, listener: l}
@@ -59,6 +66,13 @@
 	return conn, nil
 }
 
+// release makes room for another connection.
+func (l *Listener) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
 // Close closes the listener. Open connections stay open.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
@@ -83,7 +97,7 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.once.Do(func() { <-c.listener.slots })
+	c.once.Do(c.listener.release)
 	return c.Conn.Close()
 }
 
--- a/core/dispatch/runner.go
+++ b/core/dispatch/runner.go
@@ -132,6 +132,9 @@
 	Ask     admission.Ask // Request, Holder, Pin and Exclude are set by the Runner
 	Claim   Claim         // required if Ask.Once
 	Work    Work
+	// CallerLeft reports whether the caller is gone, even if the context of Run has not ended yet. It is called
+	// immediately before each dispatch; nil means that the context is enough.
+	CallerLeft func() bool
 }
 
 // Stats are the statistics of one request.
@@ -323,9 +326,9 @@
 				return out
 			}
 		}
-		if err := ctx.Err(); err != nil {
+		if ctx.Err() != nil || x.req.CallerLeft != nil && x.req.CallerLeft() {
 			x.release(slot, admission.OutcomeUnused)
-			return x.failNotRun(ctx, err)
+			return x.failNotRun(ctx, core.Errorf(core.CodeCallerGone, "caller gone"))
 		}
 		if !x.grantUsable(askedAt, receivedAt) || x.req.Ask.Once && !x.ticket.Valid(x.opts.Now()) {
 			x.release(slot, admission.OutcomeUnused)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
+	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/config"
 	"monsoondale/core/dispatch"
@@ -301,6 +302,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	if s.ConnContext != nil {
+		l = peerconn.NewListener(l, 0)
+	}
 	if s.TLSConfig != nil {
 		go s.ServeTLS(l, "", "") // the certificates are in s.TLSConfig
 	} else {
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/core/order"
@@ -19,6 +20,7 @@
 func (x *exchange) run(k workspace.Kind, q dispatch.Request, answer func(dispatch.Outcome), fail func(dispatch.Failure)) {
 	labels := Labels{Workspace: x.ws.ID, Tier: k.Tier, Kind: k.ID, AtMostOnce: k.AtMostOnce}
 	done := x.opts.Recorder.Accepted(labels)
+	q.CallerLeft = func() bool { return peerconn.Closed(x.r.Context()) }
 	out := x.opts.Runner.Run(x.r.Context(), q)
 	if out.Failed() {
 		fail(out.Failure)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/core/workspace"
@@ -91,9 +92,10 @@
 	return h
 }
 
-// NewServer returns a server for callers that limits the time and size of request headers. h limits the bodies.
+// NewServer returns a server for callers that limits the time and size of request headers. h limits the bodies. The server
+// notices closed connections without reading if its listener is a peerconn.Listener.
 func NewServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 32 << 10}
+	return &http.Server{Handler: h, ConnContext: peerconn.WithConn, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 32 << 10}
 }
 
 // ServeHTTP serves one request.
@@ -175,7 +177,9 @@
 func (h *Handler) handle(f func(*exchange)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := core.RequestID(w.Header().Get(headerRequestID))
-		ctx, span := h.tracer.Start(propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header)), "receive",
+		ctx, stop := peerconn.Watch(r.Context())
+		defer stop()
+		ctx, span := h.tracer.Start(propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(r.Header)), "receive",
 			trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", string(id))))
 		defer span.End()
 		x := &exchange{
