gateway: limit the memory of all bodies together

Change: bodies of requests and responses and buffers of streams may take a quarter of the memory limit together. A request whose body would exceed three quarters of that is refused with 503 and has not run; a response beyond it ends with 502 and is not counted against its endpoint. bodies_bytes shows the use.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 	// memoryShare is the part of the memory limit that is set as the limit of the Go runtime; the rest is for kernel
 	// buffers and the program itself.
 	memoryShare = 0.6
+	// bodyShare is the part of the memory limit that the bodies of all requests and responses may occupy at once.
+	bodyShare = 0.25
 	// descriptorShare is the part of the file descriptors that connections of callers may use; the rest is for
 	// endpoints.
 	descriptorShare = 0.7
@@ -132,7 +134,7 @@
 	g.client = endpoint.New(endpoint.Options{RequestIDHeader: o.RequestIDHeader})
 	g.proxy = proxy.New(proxy.Options{
 		Headers: o.Headers, Client: g.client, Budgets: g.budgets, Config: func() proxy.Config { return *g.config.Load() },
-		Log: g.log, Metrics: g.metrics,
+		Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
 	})
 	var err error
 	g.mesh, err = mesh.Listen(mesh.Options{
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -213,6 +213,9 @@
 	if errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline) {
 		return x.respondError(http.StatusGatewayTimeout, "deadline"), false
 	}
+	if errors.Is(err, errBodyMemory) { // not the endpoint's fault
+		return x.respondError(http.StatusBadGateway, "out of memory"), false
+	}
 	a.outcome = pool.Broken
 	switch {
 	case !x.route.Retryable():
@@ -231,10 +234,7 @@
 func (a *attempt) relayBuffered() (result, bool) {
 	x, resp := a.x, a.resp
 	a.recordResponseStart()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(b) > maxBufferedBytes {
-		err = errTooLarge
-	}
+	b, err := x.readBuffered(resp.Body, resp.ContentLength, maxBufferedBytes)
 	if err != nil {
 		return a.handleFailedAttempt(err)
 	}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -113,6 +113,8 @@
 	Config  func() Config
 	Log     logr.Logger
 	Metrics metrics.Registry
+	// MaxBuffered limits the bytes that the bodies of all requests and responses occupy at once; 0 for no limit.
+	MaxBuffered int64
 }
 
 // Handler is the HTTP handler for requests of callers.
@@ -124,11 +126,14 @@
 	openConns      atomic.Int64 // number of open connections of callers
 	keepAliveLimit atomic.Int64 // number of open connections above which responses close them; 0 for no limit
 	stats          stats
+	memory         bodyMemory
 }
 
 // New returns a Handler.
 func New(o Options) *Handler {
-	return &Handler{o: o, stats: newStats(o.Metrics)}
+	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
+	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
+	return h
 }
 
 // DisableKeepAlives makes all further responses ask the caller to close the connection. Requests are still served.
@@ -168,6 +173,7 @@
 	service    route.Service
 	pool       *pool.Pool
 	body       []byte
+	reserved   int64     // bytes of buffers
 	units      float64   // that the request costs in the workspace's quota; 0 if there is no workspace
 	takenUnits float64   // units taken from the quota
 	takenAt    time.Time // when they were taken
@@ -215,6 +221,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	result := x.serve()
+	h.memory.used.Add(-x.reserved)
 	x.recordRequest(result)
 	if result.abort {
 		// Closes the connection, so that the caller notices that the response is incomplete.
@@ -328,11 +335,13 @@
 		return result{}, true
 	}
 	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
-	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	b, err := x.readBuffered(x.r.Body, x.r.ContentLength, limit)
 	x.rc.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, errBodyMemory):
+		x.cause = err
+		return x.refuse(http.StatusServiceUnavailable, "out of memory", shortRetryAfter), false
+	case errors.Is(err, errTooLarge):
 		return x.respondError(http.StatusRequestEntityTooLarge, "body too large"), false
 	case err != nil:
 		x.cause = err
--- /dev/null
+++ b/io/proxy/memory.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minBodyBuffer is the initial size of the buffer for a body of unknown length.
+	minBodyBuffer = 2 << 10
+	// requestShare is the part of the limit up to which bodies of new requests are accepted. The rest is for responses to
+	// requests that endpoints have run already.
+	requestShare = 0.75
+)
+
+// errBodyMemory reports that the buffers of all requests together have reached their limit.
+var errBodyMemory = errors.New("no memory left for bodies")
+
+// bodyMemory limits the bytes in the buffers of all requests together. Limits on single bodies are not enough: hundreds of
+// them, from faulty callers or endpoints, would exceed the memory of the process.
+type bodyMemory struct {
+	limit int64 // 0 for no limit
+	used  atomic.Int64
+}
+
+// reserve reserves n bytes of buffers until the request ends, or returns false if they exceed the limit.
+func (x *exchange) reserve(n int) bool {
+	m := &x.handler.memory
+	limit := m.limit
+	if x.stage == stageArrival {
+		limit = int64(requestShare * float64(limit))
+	}
+	if m.used.Add(int64(n)) > limit && m.limit > 0 {
+		m.used.Add(-int64(n))
+		return false
+	}
+	x.reserved += int64(n)
+	return true
+}
+
+// readBuffered reads a body to its end. It fails with errTooLarge after limit bytes. length is the expected length, or
+// less than 0 if it is unknown.
+func (x *exchange) readBuffered(r io.Reader, length, limit int64) ([]byte, error) {
+	size := int64(minBodyBuffer)
+	if length >= 0 {
+		size = min(length, limit) + 1 // a full buffer would grow before the end is seen
+	}
+	if !x.reserve(int(size)) {
+		return nil, errBodyMemory
+	}
+	b := make([]byte, 0, size)
+	for {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case int64(len(b)) > limit:
+			return nil, errTooLarge
+		case err == io.EOF:
+			return b, nil
+		case err != nil:
+			return nil, err
+		}
+		if b, err = x.ensureSpace(b); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// ensureSpace returns b, with twice its capacity if it is full.
+func (x *exchange) ensureSpace(b []byte) ([]byte, error) {
+	if len(b) < cap(b) {
+		return b, nil
+	}
+	if !x.reserve(cap(b)) {
+		return nil, errBodyMemory
+	}
+	return append(make([]byte, 0, 2*cap(b)), b...), nil
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -43,7 +43,10 @@
 			// Bytes that complete no event are no progress.
 			resp.SetReadDeadline(lastEvent.Add(streamSilenceTimeout)) // fails only on closed connections
 		}
-		buf = ensureSpace(buf)
+		var err error
+		if buf, err = x.ensureSpace(buf); err != nil {
+			return a.handleFailedAttempt(err)
+		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		endErr = err
@@ -113,14 +116,6 @@
 	return errors.Wrap(x.rc.Flush(), "write to the caller")
 }
 
-// ensureSpace returns b, with twice its capacity if it is full.
-func ensureSpace(b []byte) []byte {
-	if len(b) < cap(b) {
-		return b
-	}
-	return append(make([]byte, 0, 2*cap(b)), b...)
-}
-
 // scanEvents returns the total length of the complete events at the beginning of b, the number of those with an id, and
 // the last id. prevID is the id of the event before b. It returns an error at an event whose id does not follow the
 // previous one; the results cover the events before it.
