--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -59,8 +59,7 @@
 	conn := &Conn{Conn: c, listener: l}
 	if sc, ok := c.(syscall.Conn); ok {
 		if conn.raw, err = sc.SyscallConn(); err != nil {
-			conn.Close()
-			return nil, errors.Wrap(err, "accepted connection")
+			conn.raw = nil // only if c is not a connection; an error of Accept would end the server
 		}
 	}
 	return conn, nil
