--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -152,7 +152,7 @@
 }
 
 // Watch returns a copy of a request's context that also ends, with the cause ErrClosed, when the peer has closed the
-// connection. The context ends without that if WithConn has not been applied. stop releases the resources.
+// connection. Without WithConn, it ends only with ctx. stop releases the resources.
 func Watch(ctx context.Context) (watched context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	c, ok := ctx.Value(connKey).(*Conn)
