--- a/common/bounded/bounded_test.go
+++ b/common/bounded/bounded_test.go
@@ -1,7 +1,6 @@
 package bounded_test
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -13,10 +12,10 @@
 	b, err := bounded.ReadAll(strings.NewReader("four"), 4)
 	fmt.Printf("%s %v\n", b, err)
 	_, err = bounded.ReadAll(strings.NewReader("seven.."), 4)
-	fmt.Println(err, errors.Is(err, bounded.ErrTooLarge))
+	fmt.Println(err)
 	// Output:
 	// four <nil>
-	// response exceeds 4 bytes: too large true
+	// the answer exceeds 4 bytes
 }
 
 // Guards against a truncated response that is taken for a complete one.
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -20,7 +20,7 @@
 	maxDatagramBytes = 60 << 10
 	// fetchTimeout is the time limit for fetching a copy, which takes milliseconds between instances of a region.
 	fetchTimeout = time.Second
-	// maxCopyBytes is the size of the largest copy of a collection; 3,600 endpoints take about 2 MB.
+	// maxCopyBytes is the size of the largest copy of a collection. The copy and its decoded form are in memory at once.
 	maxCopyBytes = 8 << 20
 	// maxHeaderBytes is the size of the largest header of a request for a copy.
 	maxHeaderBytes = 8 << 10
--- a/io/objectapi/objectapi.go
+++ b/io/objectapi/objectapi.go
@@ -168,7 +168,7 @@
 		return nil, nil, errors.Wrap(err, "read objects")
 	}
 	defer resp.Body.Close()
-	body, err := readLimited(resp.Body, limit)
+	body, err := bounded.ReadAll(resp.Body, limit)
 	if err != nil {
 		c.failures.Add(1)
 		return nil, nil, errors.Wrap(err, "read objects")
@@ -212,7 +212,7 @@
 		return 0, c.undeterminedError(err)
 	}
 	defer resp.Body.Close()
-	body, err := readLimited(resp.Body, 7*object.MaxValue) // a conflict has the value as a JSON string, with up to 6 characters per byte
+	body, err := bounded.ReadAll(resp.Body, 7*object.MaxValue) // a conflict has the value as a JSON string, with up to 6 characters per byte
 	switch {
 	case resp.StatusCode == http.StatusConflict:
 		if err != nil {
@@ -292,14 +292,3 @@
 	}
 	return core.Revision(v), nil
 }
-
-func readLimited(r io.Reader, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(b)) > limit {
-		return nil, errors.Errorf("the answer exceeds %d bytes", limit)
-	}
-	return b, nil
-}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -16,8 +16,7 @@
 const (
 	// streamBufferBytes is the initial size of the buffer into which events are read; it grows for larger events.
 	streamBufferBytes = 2 << 10
-	// maxEventBytes is the size of the largest event that is relayed. An event has a few hundred bytes, and instances with
-	// 112 MB relay hundreds of streams at once.
+	// maxEventBytes is the size of the largest event that is relayed; an event has a few hundred bytes.
 	maxEventBytes = 64 << 10
 )
 
