--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"monsoondale/common/dial"
+	"monsoondale/common/framing"
 	"monsoondale/core"
 )
 
@@ -143,6 +144,8 @@
 	*http.Response
 	// Reused reports whether the connection had served another request.
 	Reused bool
+	// Framing is what indicates the end of the body.
+	Framing framing.Framing
 
 	ctx      context.Context // of the request
 	client   *Client
@@ -207,7 +210,7 @@
 			}
 			continue
 		}
-		resp.Response = hr
+		resp.Response, resp.Framing = hr, framing.Of(hr)
 		return resp, nil
 	}
 	resp.Close()
@@ -365,7 +368,7 @@
 	default:
 		return false // the endpoint responded before it had read the request
 	}
-	return !r.Response.Close && (r.ContentLength >= 0 || len(r.TransferEncoding) > 0)
+	return !r.Response.Close && r.Framing != framing.Close
 }
 
 // idleTimeout returns how long an idle connection may be kept, based on the timeout in the Keep-Alive header.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -103,6 +103,7 @@
 	h := forwardHeader(x.r.Header)
 	x.handler.o.Headers.SetForwardHeaders(h, forwardInfo)
 	x.stage = stageConnect
+	x.framing, x.unfinishedBytes = "", 0
 	resp, err := x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
@@ -130,6 +131,7 @@
 	defer resp.Close()
 	a.resp = resp
 	x.sends++
+	x.recordFraming(resp.Framing)
 	responseInfo := x.handler.o.Headers.ParseResponse(resp.Response)
 	switch {
 	case responseInfo.Misdirected:
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"monsoondale/common/framing"
 	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/pool"
@@ -187,6 +188,8 @@
 	headerWritten   bool              // the header of the response has been written
 	fallback        *bufferedResponse // error response of an endpoint, relayed if no other endpoint succeeds
 	lastEventID     string            // id of the last event that was written to the caller, or that its request states
+	framing         framing.Framing   // of the last response of an endpoint; empty before the first one
+	unfinishedBytes int               // after the last complete event of that response
 	firstByte       time.Time         // when the response or its first event was written
 	endpointID      core.EndpointID
 	stage           stage
@@ -401,7 +404,7 @@
 		}
 		x.handler.stats.retries.Inc(1)
 		x.handler.o.Log.Info("repeat", "request", x.info.ID, "route", x.route.Name, "endpoint", g.Endpoint.ID, "reason", r.reason,
-			"cause", errorText(x.cause), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID)
+			"cause", errorText(x.cause), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes)
 	}
 }
 
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -6,6 +6,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"monsoondale/common/framing"
 	"monsoondale/core/route"
 )
 
@@ -28,6 +29,12 @@
 	}
 }
 
+// recordFraming records what indicates the end of a response of an endpoint.
+func (x *exchange) recordFraming(f framing.Framing) {
+	x.framing = f
+	metrics.GetOrRegisterCounter("response.framing."+string(f), x.handler.stats.registry).Inc(1)
+}
+
 // recordRequest updates the metrics and writes the log line of a finished request.
 func (x *exchange) recordRequest(r result) {
 	now := time.Now()
@@ -67,6 +74,12 @@
 		s.firstByte.Update(x.firstByte.Sub(x.arrived))
 		values = append(values, "first", milliseconds(x.firstByte.Sub(x.arrived)))
 	}
+	if x.framing != "" {
+		values = append(values, "framing", x.framing)
+	}
+	if x.unfinishedBytes > 0 {
+		values = append(values, "rest", x.unfinishedBytes)
+	}
 	if x.lastEventID != "" {
 		values = append(values, "last", x.lastEventID)
 	}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -58,6 +58,7 @@
 		}
 		completeLen, count, last, scanErr := scanEvents(buf, x.lastEventID)
 		numbered += count
+		x.unfinishedBytes = len(buf) - completeLen
 		if endErr == io.EOF && scanErr == nil {
 			completeLen = len(buf) // bytes after the last separator belong to the response too
 		}
