io/proxy: break off a stream that ended inside an event

Cause: the end of the endpoint's response was taken for the end of the stream, whatever had been read. A response without length and chunks ends with its connection, so net/http reports io.EOF also when its sender has crashed; relayStream then passed on what followed the last separator.

A stream now ends only between two events. One that ends inside an event has failed, whatever delimited it: it is continued elsewhere where the route allows it, and broken off otherwise.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -41,6 +41,7 @@
 	errNoResponse         = errors.New("no response in time") // or a pause within a stream
 	errUnexpectedEncoding = errors.New("response has a content encoding that was not requested")
 	errEventOrder         = errors.New("event out of order")
+	errTruncated          = errors.New("stream ended inside an event")
 	errTooLarge           = errors.New("response or event is too large to buffer")
 )
 
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -58,9 +58,14 @@
 		}
 		completeLen, count, last, scanErr := scanEvents(buf, x.lastEventID)
 		numbered += count
-		x.unfinishedBytes = len(buf) - completeLen
+		rest := buf[completeLen:]
+		x.unfinishedBytes = len(rest)
 		if endErr == io.EOF && scanErr == nil {
-			completeLen = len(buf) // bytes after the last separator belong to the response too
+			if len(bytes.Trim(rest, "\r\n")) > 0 {
+				endErr = errTruncated
+			} else {
+				completeLen = len(buf) // empty lines after the last event belong to the response too
+			}
 		}
 		if completeLen > 0 {
 			if writeErr := x.writeEvents(resp.Header, resp.StatusCode, buf[:completeLen]); writeErr != nil {
