io/proxy: reset the connection of a broken response that ends with it

A stream that was broken off looked complete to callers that speak HTTP/1.0: their responses end with the connection, and http.ErrAbortHandler closes it in order, as after a complete response. The same holds if the process ends: the kernel then closes its connections in order.

The connection of such a response is now reset on close from its header on, until the response is known to be complete. Responses with a length or chunks are broken off as before, without loss of what has been sent.

--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -1,5 +1,6 @@
-// Package peerconn tells when the peer of an accepted TCP connection has closed it. The server of net/http learns of it
-// only by reading, so it misses a close that arrived together with the request, or behind bytes of the next request.
+// Package peerconn tells when the peer of an accepted TCP connection has closed it, and lets the peer tell an orderly close
+// from a broken connection. The server of net/http learns of a close only by reading, so it misses one that arrived together
+// with the request, or behind bytes of the next request; and it always closes in order.
 package peerconn
 
 import (
@@ -100,6 +101,19 @@
 	return c.Conn.Close()
 }
 
+// ResetOnClose sets whether closing the connection resets it, also if the process ends, instead of ending it in order.
+// The peer then loses bytes that have not reached it.
+func (c *Conn) ResetOnClose(reset bool) error {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("not a TCP connection")
+	}
+	if reset {
+		return t.SetLinger(0)
+	}
+	return t.SetLinger(-1) // the default of the kernel
+}
+
 // PeerClosed reports whether the peer has closed or reset the connection, or its sending side, even if bytes that it sent
 // before have not been read.
 func (c *Conn) PeerClosed() bool {
@@ -145,6 +159,15 @@
 	return ctx
 }
 
+// ResetOnClose calls Conn.ResetOnClose for the connection of a request's context.
+func ResetOnClose(ctx context.Context, reset bool) error {
+	c, ok := ctx.Value(connKey).(*Conn)
+	if !ok {
+		return errors.New("unknown connection")
+	}
+	return c.ResetOnClose(reset)
+}
+
 // watch is a request during which the connection is checked.
 type watch struct {
 	conn   *Conn
--- a/common/peerconn/peerconn_test.go
+++ b/common/peerconn/peerconn_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"runtime"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -128,3 +130,36 @@
 	peer.Close()
 	g.Eventually(ctx.Done(), "400ms").Should(BeClosed())
 }
+
+// Guards against an abandoned response that its caller takes as complete because the connection ended in order, and against
+// a reset after a complete one.
+func TestResetOnClose(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		set   []bool
+		reset bool
+	}{
+		{"never set", nil, false},
+		{"set", []bool{true}, true},
+		{"set and unset", []bool{true, false}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			peer, accepted := accept(t)
+			ctx := peerconn.WithConn(context.Background(), accepted)
+			for _, reset := range c.set {
+				g.Expect(peerconn.ResetOnClose(ctx, reset)).To(Succeed())
+			}
+			fmt.Fprint(accepted, "bytes")
+			accepted.Close()
+			b, err := io.ReadAll(peer)
+			g.Expect(string(b)).To(Equal("bytes"))
+			if c.reset {
+				g.Expect(err).To(MatchError(syscall.ECONNRESET))
+			} else {
+				g.Expect(err).ToNot(HaveOccurred())
+			}
+		})
+	}
+	NewWithT(t).Expect(peerconn.ResetOnClose(context.Background(), true)).ToNot(Succeed())
+}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -186,6 +186,7 @@
 	possibleRuns    int               // number of endpoints that may have run it
 	tried           []core.EndpointID // endpoints to avoid in further attempts
 	headerWritten   bool              // the header of the response has been written
+	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
 	fallback        *bufferedResponse // error response of an endpoint, relayed if no other endpoint succeeds
 	lastEventID     string            // id of the last event that was written to the caller, or that its request states
 	framing         framing.Framing   // of the last response of an endpoint; empty before the first one
@@ -224,6 +225,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	result := x.serve()
+	if x.closeDelimited && !result.abort {
+		x.confirmEnd()
+	}
 	h.memory.used.Add(-x.reserved)
 	x.recordRequest(result)
 	if result.abort {
@@ -232,6 +236,26 @@
 	}
 }
 
+// delimitByClose is called before the header of a response that ends with the connection is written. The caller can tell
+// that such a response is incomplete only if the connection is reset.
+func (x *exchange) delimitByClose() {
+	x.closeDelimited = true
+	if err := peerconn.ResetOnClose(x.r.Context(), true); err != nil && x.cause == nil {
+		x.cause = err
+	}
+}
+
+// confirmEnd lets the connection end in order after a complete response that ends with it.
+func (x *exchange) confirmEnd() {
+	err := x.rc.Flush()
+	if err == nil {
+		err = peerconn.ResetOnClose(x.r.Context(), false)
+	}
+	if err != nil && x.cause == nil {
+		x.cause = err
+	}
+}
+
 // result is the outcome of a request or of one attempt. With abort, the connection to the caller is closed.
 type result struct {
 	status int
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -105,6 +105,9 @@
 func (x *exchange) writeEvents(h http.Header, status int, events []byte) error {
 	if !x.headerWritten {
 		copyResponseHeader(x.w.Header(), h)
+		if !x.r.ProtoAtLeast(1, 1) { // HTTP/1.0 has no chunks
+			x.delimitByClose()
+		}
 		x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on closed connections
 		x.w.WriteHeader(status)
 		x.headerWritten = true
