io/proxy: state no end of a response that its endpoint did not state

A response without length and chunks reached its caller with a Content-Length or a last chunk of the instance. If its endpoint had been cut off between two events, or inside a body that is no stream, the caller could not tell: the response claimed more than anybody knew.

Cause, the same class as the streams that ended inside an event: io.EOF was taken as the proof of a complete response. What delimited the response was not kept, so the instance stated an end of its own.

The framing of the endpoint's response is now kept with it. A response that ended with its connection is relayed in the same way. A stream that has begun with chunks gets no last chunk if the endpoint that continues it states no end, and a stream without a stated end needs at least one event.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"monsoondale/common/framing"
 	"monsoondale/common/peerconn"
 	"monsoondale/core/pool"
 	"monsoondale/core/route"
@@ -42,6 +43,8 @@
 	errUnexpectedEncoding = errors.New("response has a content encoding that was not requested")
 	errEventOrder         = errors.New("event out of order")
 	errTruncated          = errors.New("stream ended inside an event")
+	errNoEvents           = errors.New("connection ended before the first event of a stream")
+	errUnknownEnd         = errors.New("connection ended, and the endpoint did not state whether the stream is complete")
 	errTooLarge           = errors.New("response or event is too large to buffer")
 )
 
@@ -220,6 +223,9 @@
 		return x.respondError(http.StatusBadGateway, "out of memory"), false
 	}
 	a.outcome = pool.Broken
+	if errors.Is(err, errUnknownEnd) {
+		a.outcome = pool.Served
+	}
 	switch {
 	case !x.route.Retryable():
 		return x.respondError(http.StatusBadGateway, "endpoint failed"), false
@@ -249,7 +255,7 @@
 	if x.headerWritten {
 		return result{status: resp.StatusCode, reason: "endpoint would not continue", abort: true}, false
 	}
-	w := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: b}
+	w := &bufferedResponse{status: resp.StatusCode, header: resp.Header, framing: resp.Framing, body: b}
 	if a.outcome == pool.ServerError && a.takeServerErrorRetry() {
 		x.fallback = w
 		return result{reason: "endpoint answered " + strconv.Itoa(resp.StatusCode)}, true
@@ -259,9 +265,10 @@
 
 // bufferedResponse is a complete response of an endpoint.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing framing.Framing
+	body    []byte
 }
 
 // takeServerErrorRetry reports whether a request to which an endpoint has responded with a server error may be retried,
@@ -276,7 +283,11 @@
 func (x *exchange) writeResponse(w *bufferedResponse, reason string) result {
 	h := x.w.Header()
 	copyResponseHeader(h, w.header)
-	h.Set("Content-Length", strconv.Itoa(len(w.body)))
+	if w.framing == framing.Close {
+		x.delimitByClose()
+	} else {
+		h.Set("Content-Length", strconv.Itoa(len(w.body)))
+	}
 	x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on closed connections
 	x.w.WriteHeader(w.status)
 	x.headerWritten, x.firstByte = true, time.Now()
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -236,10 +236,11 @@
 	}
 }
 
-// delimitByClose is called before the header of a response that ends with the connection is written. The caller can tell
-// that such a response is incomplete only if the connection is reset.
+// delimitByClose is called before the header of a response is written. The response then has neither a length nor chunks
+// and ends with the connection. The caller can tell that it is incomplete only if the connection is reset.
 func (x *exchange) delimitByClose() {
 	x.closeDelimited = true
+	x.w.Header().Set("Transfer-Encoding", "identity") // tells net/http to write no chunks; it is not sent
 	if err := peerconn.ResetOnClose(x.r.Context(), true); err != nil && x.cause == nil {
 		x.cause = err
 	}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"io"
-	"net/http"
 	"os"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"monsoondale/common/framing"
 	"monsoondale/core/pool"
 )
 
@@ -27,6 +27,7 @@
 	var (
 		buf       = make([]byte, 0, streamBufferBytes)
 		numbered  int // number of events with an id; only the intervals between these are recorded
+		hasEvents bool
 		firstRead time.Time
 		lastRead  time.Time
 		lastEvent time.Time // when the last complete event was relayed, or the first bytes were read
@@ -58,17 +59,16 @@
 		}
 		completeLen, count, last, scanErr := scanEvents(buf, x.lastEventID)
 		numbered += count
+		hasEvents = hasEvents || completeLen > 0
 		rest := buf[completeLen:]
 		x.unfinishedBytes = len(rest)
 		if endErr == io.EOF && scanErr == nil {
-			if len(bytes.Trim(rest, "\r\n")) > 0 {
-				endErr = errTruncated
-			} else {
+			if endErr = a.checkEnd(rest, hasEvents); endErr == io.EOF {
 				completeLen = len(buf) // empty lines after the last event belong to the response too
 			}
 		}
 		if completeLen > 0 {
-			if writeErr := x.writeEvents(resp.Header, resp.StatusCode, buf[:completeLen]); writeErr != nil {
+			if writeErr := a.writeEvents(buf[:completeLen]); writeErr != nil {
 				x.cause = writeErr
 				return x.endForCallerLeft(), false
 			}
@@ -93,23 +93,42 @@
 	a.outcome = pool.Served
 	a.recordResponseStart()
 	// Writes the header if the stream had no data.
-	if err := x.writeEvents(resp.Header, resp.StatusCode, nil); err != nil {
+	if err := a.writeEvents(nil); err != nil {
 		x.cause = err
 		return x.endForCallerLeft(), false
 	}
 	return result{status: resp.StatusCode, reason: "served"}, false
 }
 
+// checkEnd returns io.EOF if the end of the endpoint's response is the end of the stream, or else why it is not. rest is
+// what followed the last complete event.
+func (a *attempt) checkEnd(rest []byte, hasEvents bool) error {
+	switch {
+	case len(bytes.Trim(rest, "\r\n")) > 0:
+		return errTruncated
+	case a.resp.Framing != framing.Close:
+		return io.EOF
+	case !hasEvents:
+		return errNoEvents
+	case a.x.headerWritten && !a.x.closeDelimited:
+		// An earlier endpoint stated that it would end its response with a last chunk. It must not be written for this one,
+		// of which events may be missing.
+		return errUnknownEnd
+	}
+	return io.EOF
+}
+
 // writeEvents writes events to the caller and flushes them. Before the first events, it writes the response header of
 // the endpoint, unless the header of an earlier endpoint has been written.
-func (x *exchange) writeEvents(h http.Header, status int, events []byte) error {
+func (a *attempt) writeEvents(events []byte) error {
+	x := a.x
 	if !x.headerWritten {
-		copyResponseHeader(x.w.Header(), h)
-		if !x.r.ProtoAtLeast(1, 1) { // HTTP/1.0 has no chunks
+		copyResponseHeader(x.w.Header(), a.resp.Header)
+		if a.resp.Framing == framing.Close || !x.r.ProtoAtLeast(1, 1) { // HTTP/1.0 has no chunks
 			x.delimitByClose()
 		}
 		x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on closed connections
-		x.w.WriteHeader(status)
+		x.w.WriteHeader(a.resp.StatusCode)
 		x.headerWritten = true
 	}
 	if len(events) == 0 {
