serve: state no length of an answer that its service did not delimit

What delimited the answer is kept with it, in the reply, in the claim's entry and its message, and such an answer is written without a length, ending with the caller's connection. An instance of an older version ignores the new field and behaves as before. The setup of such responses moved to common/peerconn, which the gateway uses too.

--- a/common/peerconn/peerconn.go
+++ b/common/peerconn/peerconn.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -159,8 +160,24 @@
 	return ctx
 }
 
-// ResetOnClose calls Conn.ResetOnClose for the connection of a request's context.
-func ResetOnClose(ctx context.Context, reset bool) error {
+// DelimitByClose prepares a response that has neither a length nor chunks and ends with its connection. It must be called
+// before the header is written. Until ConfirmEnd, closing the connection resets it: the peer cannot tell otherwise that the
+// response is incomplete. ctx is the context of the request.
+func DelimitByClose(ctx context.Context, h http.Header) error {
+	h.Del("Content-Length")
+	h.Set("Transfer-Encoding", "identity") // tells net/http to write no chunks; it is not sent
+	return resetOnClose(ctx, true)
+}
+
+// ConfirmEnd sends the rest of a complete response that DelimitByClose has prepared, and lets its connection end in order.
+func ConfirmEnd(ctx context.Context, w http.ResponseWriter) error {
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return errors.Wrap(err, "end the response")
+	}
+	return resetOnClose(ctx, false)
+}
+
+func resetOnClose(ctx context.Context, reset bool) error {
 	c, ok := ctx.Value(connKey).(*Conn)
 	if !ok {
 		return errors.New("unknown connection")
--- a/common/peerconn/peerconn_test.go
+++ b/common/peerconn/peerconn_test.go
@@ -146,9 +146,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			peer, accepted := accept(t)
-			ctx := peerconn.WithConn(context.Background(), accepted)
 			for _, reset := range c.set {
-				g.Expect(peerconn.ResetOnClose(ctx, reset)).To(Succeed())
+				g.Expect(accepted.ResetOnClose(reset)).To(Succeed())
 			}
 			fmt.Fprint(accepted, "bytes")
 			accepted.Close()
@@ -161,5 +160,4 @@
 			}
 		})
 	}
-	NewWithT(t).Expect(peerconn.ResetOnClose(context.Background(), true)).ToNot(Succeed())
 }
--- a/core/dispatch/clients.go
+++ b/core/dispatch/clients.go
@@ -64,9 +64,10 @@
 
 // Reply is the complete response of a plain service, or the collected answer of a chat.
 type Reply struct {
-	Status int
-	Media  string // content type
-	Body   []byte
+	Status   int
+	Media    string // content type
+	Body     []byte
+	Unframed bool // the end of the connection ended the body, of which the end may be missing
 }
 
 // Service is the client of plain services. Call returns a *NotSentError if no byte was sent, a *core.Error for a final
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -103,7 +103,7 @@
 	if x.ticket == nil {
 		return out
 	}
-	return x.recordResult(out, r.Status < 400, order.Result{Status: r.Status, Media: r.Media, Body: r.Body})
+	return x.recordResult(out, r.Status < 400, order.Result{Status: r.Status, Media: r.Media, Body: r.Body, Unframed: r.Unframed})
 }
 
 // recordResult records the result of an order. If the store does not accept it within cleanupTimeout, the answer is not
--- a/core/order/claims.go
+++ b/core/order/claims.go
@@ -20,9 +20,10 @@
 
 // Result is the recorded response of an order. It is stored in JSON under the names of its fields.
 type Result struct {
-	Status int
-	Media  string // content type
-	Body   []byte
+	Status   int
+	Media    string // content type
+	Body     []byte
+	Unframed bool `json:",omitempty"` // the end of a connection ended the body, of which the end may be missing
 }
 
 // Ticket is a successful claim. It permits a dispatch only while Valid returns true.
--- a/core/order/head.go
+++ b/core/order/head.go
@@ -43,8 +43,9 @@
 	Status         int              `json:"status,omitempty"`
 	Media          string           `json:"media,omitempty"` // content type
 	Body           []byte           `json:"body,omitempty"`
-	ResultObject   string           `json:"object,omitempty"` // name of the result object if the body is not inline
-	VoidedAttempts []core.AttemptID `json:"past,omitempty"`   // late messages must not revive them
+	Unframed       bool             `json:"unframed,omitempty"` // see Result
+	ResultObject   string           `json:"object,omitempty"`   // name of the result object if the body is not inline
+	VoidedAttempts []core.AttemptID `json:"past,omitempty"`     // late messages must not revive them
 }
 
 // Archive describes an archive object in the head that lists it.
@@ -242,7 +243,7 @@
 func entryMessage(e *Entry) peer.Claim {
 	return peer.Claim{
 		Key: e.Key, Print: e.Fingerprint, Attempt: string(e.Attempt), Holder: string(e.Holder), Time: int(e.Time),
-		State: peer.ClaimState(e.State), Status: e.Status, Media: e.Media, Object: e.ResultObject,
+		State: peer.ClaimState(e.State), Status: e.Status, Media: e.Media, Unframed: e.Unframed, Object: e.ResultObject,
 		Body: base64.StdEncoding.EncodeToString(e.Body),
 	}
 }
@@ -258,7 +259,7 @@
 	}
 	e := &Entry{
 		Key: c.Key, Fingerprint: c.Print, Attempt: core.AttemptID(c.Attempt), Holder: core.InstanceID(c.Holder),
-		Time: int64(c.Time), State: State(c.State), Status: c.Status, Media: c.Media, ResultObject: c.Object, Body: body,
+		Time: int64(c.Time), State: State(c.State), Status: c.Status, Media: c.Media, Unframed: c.Unframed, ResultObject: c.Object, Body: body,
 	}
 	return e, e.validate()
 }
--- a/core/order/registry.go
+++ b/core/order/registry.go
@@ -242,7 +242,7 @@
 
 // loadResult returns the recorded result of a finished entry.
 func (r *Registry) loadResult(ctx context.Context, e *Entry) (*Result, error) {
-	res := &Result{Status: e.Status, Media: e.Media, Body: e.Body}
+	res := &Result{Status: e.Status, Media: e.Media, Body: e.Body, Unframed: e.Unframed}
 	switch e.ResultObject {
 	case "":
 		return res, nil
@@ -271,7 +271,7 @@
 	if done {
 		e.State = StateDone
 	}
-	e.Status, e.Media = res.Status, res.Media
+	e.Status, e.Media, e.Unframed = res.Status, res.Media, res.Unframed
 	if len(e.Media) > 256 {
 		e.Media = ""
 	}
@@ -279,7 +279,7 @@
 	if len(res.Body) <= InlineBytes {
 		e.Body = res.Body
 	} else {
-		v, err := json.Marshal(Result{Status: res.Status, Media: e.Media, Body: res.Body})
+		v, err := json.Marshal(Result{Status: res.Status, Media: e.Media, Body: res.Body, Unframed: res.Unframed})
 		if err != nil {
 			return errors.Wrap(err, "encode result")
 		}
--- a/core/order/registry_test.go
+++ b/core/order/registry_test.go
@@ -103,12 +103,12 @@
 		for i, body := range []string{"done", strings.Repeat("x", order.InlineBytes+1)} {
 			k := core.OrderKey(fmt.Sprint("k", i))
 			tk := mustClaim(ctx, g, a, k)
-			g.Expect(a.Finish(ctx, tk, true, order.Result{Status: 201, Media: "text/plain", Body: []byte(body)})).To(Succeed())
+			g.Expect(a.Finish(ctx, tk, true, order.Result{Status: 201, Media: "text/plain", Body: []byte(body), Unframed: true})).To(Succeed())
 			g.Expect(a.Void(ctx, tk)).NotTo(Succeed(), "a finished order must stay recorded")
 			for _, x := range []*order.Registry{a, b} {
 				_, res, err = x.Claim(ctx, k, "p")
 				g.Expect(err).NotTo(HaveOccurred())
-				g.Expect(res).To(Equal(&order.Result{Status: 201, Media: "text/plain", Body: []byte(body)}))
+				g.Expect(res).To(Equal(&order.Result{Status: 201, Media: "text/plain", Body: []byte(body), Unframed: true}))
 				expectRefused(ctx, g, x, k, "other", core.CodeKeyMismatch)
 			}
 		}
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -59,13 +59,14 @@
 	x.run(k, q, x.writeReply, x.fail)
 }
 
-// writeReply writes a complete answer, either fresh or recorded.
+// writeReply writes a whole answer, either fresh or recorded.
 func (x *exchange) writeReply(out dispatch.Outcome) {
 	if r := out.Replay; r != nil {
-		x.writeBody(r.Status, r.Media, r.Body)
+		x.writeResult(*r)
 		return
 	}
-	x.writeBody(out.Reply.Status, out.Reply.Media, out.Reply.Body)
+	r := out.Reply
+	x.writeResult(order.Result{Status: r.Status, Media: r.Media, Body: r.Body, Unframed: r.Unframed})
 }
 
 // chat forwards a chat to a model engine. The answer is streamed or returned complete, as the caller asked.
@@ -241,7 +242,7 @@
 func (s *streamWriter) replay(res order.Result) {
 	chunk, err := asChunk(res.Body)
 	if res.Status != http.StatusOK || err != nil {
-		s.writeBody(res.Status, res.Media, res.Body)
+		s.writeResult(res)
 		return
 	}
 	if s.send("", string(chunk)) == nil {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -21,6 +21,7 @@
 	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
+	"monsoondale/core/order"
 	"monsoondale/core/workspace"
 	"monsoondale/internal/testhook"
 )
@@ -245,12 +246,32 @@
 
 // writeBody writes a complete response.
 func (x *exchange) writeBody(status int, media string, b []byte) {
+	x.writeResult(order.Result{Status: status, Media: media, Body: b})
+}
+
+// writeResult writes an answer. It gets a length only if its endpoint stated where it ends.
+func (x *exchange) writeResult(res order.Result) {
 	x.extendWriteDeadline()
-	x.w.Header().Set("Content-Type", media)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	x.w.WriteHeader(status)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
-		_, _ = x.w.Write(b) // fails only if the caller has disconnected
+	x.w.Header().Set("Content-Type", res.Media)
+	if res.Unframed {
+		x.recordError(peerconn.DelimitByClose(x.r.Context(), x.w.Header()))
+	} else {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
+	}
+	x.w.WriteHeader(res.Status)
+	if res.Status == http.StatusNoContent || res.Status == http.StatusNotModified {
+		return
+	}
+	_, err := x.w.Write(res.Body) // fails only if the caller has disconnected
+	if res.Unframed && err == nil {
+		x.recordError(peerconn.ConfirmEnd(x.r.Context(), x.w))
+	}
+}
+
+// recordError adds an error, if there is one, to the span of the request.
+func (x *exchange) recordError(err error) {
+	if err != nil {
+		trace.SpanFromContext(x.r.Context()).RecordError(err)
 	}
 }
 
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -226,7 +226,7 @@
 	}
 	result := x.serve()
 	if x.closeDelimited && !result.abort {
-		x.confirmEnd()
+		x.recordCause(peerconn.ConfirmEnd(ctx, w))
 	}
 	h.memory.used.Add(-x.reserved)
 	x.recordRequest(result)
@@ -236,23 +236,15 @@
 	}
 }
 
-// delimitByClose is called before the header of a response is written. The response then has neither a length nor chunks
-// and ends with the connection. The caller can tell that it is incomplete only if the connection is reset.
+// delimitByClose makes the response end with the connection. It is called before the header is written.
 func (x *exchange) delimitByClose() {
 	x.closeDelimited = true
-	x.w.Header().Set("Transfer-Encoding", "identity") // tells net/http to write no chunks; it is not sent
-	if err := peerconn.ResetOnClose(x.r.Context(), true); err != nil && x.cause == nil {
-		x.cause = err
-	}
+	x.recordCause(peerconn.DelimitByClose(x.r.Context(), x.w.Header()))
 }
 
-// confirmEnd lets the connection end in order after a complete response that ends with it.
-func (x *exchange) confirmEnd() {
-	err := x.rc.Flush()
-	if err == nil {
-		err = peerconn.ResetOnClose(x.r.Context(), false)
-	}
-	if err != nil && x.cause == nil {
+// recordCause records an error, or nil, unless there is an earlier one.
+func (x *exchange) recordCause(err error) {
+	if x.cause == nil {
 		x.cause = err
 	}
 }
@@ -302,8 +294,8 @@
 		return
 	}
 	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
-	if _, err := io.CopyN(io.Discard, x.r.Body, maxDrainBytes); err != nil && err != io.EOF && x.cause == nil {
-		x.cause = err
+	if _, err := io.CopyN(io.Discard, x.r.Body, maxDrainBytes); err != io.EOF {
+		x.recordCause(err)
 	}
 	x.rc.SetReadDeadline(time.Time{})
 }
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"monsoondale/common/framing"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/io/internal/roundtrip"
@@ -42,7 +43,7 @@
 // ForwardedHeaders are the request headers that are forwarded to services.
 var ForwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "Idempotency-Key"}
 
-// Call forwards a request to the service and returns the complete response, whatever its status. Only ctx limits the
+// Call forwards a request to the service and returns the whole response, whatever its status. Only ctx limits the
 // time.
 func (c *Client) Call(ctx context.Context, permit *dispatch.Permit, address string, q dispatch.CallRequest) (dispatch.Reply, error) {
 	header := http.Header{}
@@ -79,5 +80,5 @@
 	if _, _, err := mime.ParseMediaType(media); err != nil {
 		media = "application/octet-stream"
 	}
-	return dispatch.Reply{Status: resp.StatusCode, Media: media, Body: body}, nil
+	return dispatch.Reply{Status: resp.StatusCode, Media: media, Body: body, Unframed: framing.Of(resp) == framing.Close}, nil
 }
--- a/wire/peer/peer.go
+++ b/wire/peer/peer.go
@@ -111,6 +111,9 @@
 
 	// Time corresponds to the JSON schema field "time".
 	Time int `json:"time"`
+
+	// The end of a connection ended the body, of which the end may be missing.
+	Unframed bool `json:"unframed,omitempty,omitzero"`
 }
 
 type ClaimState string
