Keep the length that an endpoint states in a response to HEAD

A response to HEAD reached the caller with Content-Length: 0, whatever the endpoint had stated: found while looking for other places that state more about a response than the endpoint.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -253,9 +253,10 @@
 func (x *exchange) writeResult(res order.Result) {
 	x.extendWriteDeadline()
 	x.w.Header().Set("Content-Type", res.Media)
-	if res.Unframed {
+	switch {
+	case res.Unframed:
 		x.recordError(peerconn.DelimitByClose(x.r.Context(), x.w.Header()))
-	} else {
+	case x.r.Method != http.MethodHead: // whose length would be that of the body of a GET
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
 	}
 	x.w.WriteHeader(res.Status)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -283,10 +283,13 @@
 func (x *exchange) writeResponse(w *bufferedResponse, reason string) result {
 	h := x.w.Header()
 	copyResponseHeader(h, w.header)
-	if w.framing == framing.Close {
+	switch {
+	case w.framing == framing.Close:
 		x.delimitByClose()
-	} else {
+	case x.r.Method != http.MethodHead:
 		h.Set("Content-Length", strconv.Itoa(len(w.body)))
+	case w.header["Content-Length"] != nil:
+		h["Content-Length"] = w.header["Content-Length"] // of the body that a GET would get
 	}
 	x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on closed connections
 	x.w.WriteHeader(w.status)
