io/proxy: do not begin a stream again whose events have no ids

Comments are not events: they neither prevent a resume nor make a stream without a stated end complete.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -227,7 +227,7 @@
 		a.outcome = pool.Served
 	}
 	switch {
-	case !x.route.Retryable():
+	case !x.route.Retryable(), x.notResumable:
 		return x.respondError(http.StatusBadGateway, "endpoint failed"), false
 	case x.possibleRuns >= x.route.Attempts:
 		return x.respondError(http.StatusBadGateway, "endpoint failed, attempts exhausted"), false
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -189,6 +189,7 @@
 	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
 	fallback        *bufferedResponse // error response of an endpoint, relayed if no other endpoint succeeds
 	lastEventID     string            // id of the last event that was written to the caller, or that its request states
+	notResumable    bool              // an event without an id was written; another endpoint would send it again
 	framing         framing.Framing   // of the last response of an endpoint; empty before the first one
 	unfinishedBytes int               // after the last complete event of that response
 	firstByte       time.Time         // when the response or its first event was written
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -57,14 +57,14 @@
 				a.recordResponseStart()
 			}
 		}
-		completeLen, count, last, scanErr := scanEvents(buf, x.lastEventID)
-		numbered += count
-		hasEvents = hasEvents || completeLen > 0
-		rest := buf[completeLen:]
+		events, scanErr := scanEvents(buf, x.lastEventID)
+		numbered += events.numbered
+		hasEvents = hasEvents || events.numbered+events.unnumbered > 0
+		completeLen, rest := events.length, buf[events.length:]
 		x.unfinishedBytes = len(rest)
 		if endErr == io.EOF && scanErr == nil {
 			if endErr = a.checkEnd(rest, hasEvents); endErr == io.EOF {
-				completeLen = len(buf) // empty lines after the last event belong to the response too
+				completeLen = len(buf) // lines after the last event belong to the response too
 			}
 		}
 		if completeLen > 0 {
@@ -72,7 +72,8 @@
 				x.cause = writeErr
 				return x.endForCallerLeft(), false
 			}
-			x.lastEventID = last
+			x.lastEventID = events.lastID
+			x.notResumable = x.notResumable || events.unnumbered > 0
 			lastEvent = time.Now()
 			buf = append(buf[:0], buf[completeLen:]...)
 		}
@@ -104,7 +105,7 @@
 // what followed the last complete event.
 func (a *attempt) checkEnd(rest []byte, hasEvents bool) error {
 	switch {
-	case len(bytes.Trim(rest, "\r\n")) > 0:
+	case !isComment(rest) || len(rest) > 0 && !bytes.ContainsAny(rest[len(rest)-1:], "\r\n"):
 		return errTruncated
 	case a.resp.Framing != framing.Close:
 		return io.EOF
@@ -143,25 +144,46 @@
 	return errors.Wrap(x.rc.Flush(), "write to the caller")
 }
 
-// scanEvents returns the total length of the complete events at the beginning of b, the number of those with an id, and
-// the last id. prevID is the id of the event before b. It returns an error at an event whose id does not follow the
-// previous one; the results cover the events before it.
-func scanEvents(b []byte, prevID string) (length, numbered int, lastID string, err error) {
-	lastID = prevID
+// scannedEvents describes the complete events at the beginning of a buffer.
+type scannedEvents struct {
+	length     int    // of all events in bytes
+	numbered   int    // number of events with an id
+	unnumbered int    // number of events without one; comments are not events
+	lastID     string // id of the last event that has one
+}
+
+// scanEvents finds the complete events at the beginning of b. prevID is the id of the event before b. It returns an error
+// at an event whose id does not follow the previous one; the result covers the events before it.
+func scanEvents(b []byte, prevID string) (scannedEvents, error) {
+	s := scannedEvents{lastID: prevID}
 	for {
-		n := eventLength(b[length:])
+		n := eventLength(b[s.length:])
 		if n < 0 {
-			return length, numbered, lastID, nil
+			return s, nil
 		}
-		if id, ok := eventID(b[length : length+n]); ok {
-			if !follows(lastID, id) {
-				return length, numbered, lastID, errEventOrder
-			}
-			lastID = id
-			numbered++
+		event := b[s.length : s.length+n]
+		id, ok := eventID(event)
+		switch {
+		case ok && !follows(s.lastID, id):
+			return s, errEventOrder
+		case ok:
+			s.lastID = id
+			s.numbered++
+		case !isComment(event):
+			s.unnumbered++
+		}
+		s.length += n
+	}
+}
+
+// isComment reports whether all lines are comments or empty.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
 		}
-		length += n
 	}
+	return true
 }
 
 // eventLength returns the length of the first event including the empty line that ends it, or -1 if it is incomplete.
