io/proxy: recognise all line ends of event streams

Events whose lines end with CR, or with LF before an empty line that ends with CRLF, were not recognised: they were held back until the response ended. Since a stream that ends inside an event has failed, such a stream would now have failed as a whole.

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 	"os"
 	"strconv"
 	"time"
@@ -178,29 +179,37 @@
 
 // isComment reports whether all lines are comments or empty.
 func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+	for line := range lines(event) {
+		if line[0] != ':' {
 			return false
 		}
 	}
 	return true
 }
 
+// eventEnds are an empty line and the end of the line before it. The line before "\n\r\n" may end with CRLF.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
 // eventLength returns the length of the first event including the empty line that ends it, or -1 if it is incomplete.
 func eventLength(b []byte) int {
-	lf, crlf := bytes.Index(b, []byte("\n\n")), bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf >= 0 && (crlf < 0 || lf < crlf):
-		return lf + 2
-	case crlf >= 0:
-		return crlf + 4
+	length := -1
+	for _, end := range eventEnds {
+		if i := bytes.Index(b, end); i >= 0 {
+			length = i + len(end)
+			b = b[:length] // only an earlier end matters
+		}
 	}
-	return -1
+	return length
+}
+
+// lines returns the lines of an event that are not empty, without their ends.
+func lines(event []byte) iter.Seq[[]byte] {
+	return bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\n' || r == '\r' })
 }
 
 // eventID returns the id field of an event.
 func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(v)), true
 		}
