test/soak: a seeded soak of gateway processes

Runs gateways as processes against the stand-ins of the platform. Callers use open connections until they break. Checked: at most once, 'not run' is true, whole and own responses, nothing incomplete that looks complete, key and workspace, no process that ends by itself, exits in time, recovery with the newest configuration.

--- /dev/null
+++ b/test/soak/caller_test.go
@@ -0,0 +1,122 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"monsoondale/common/framing"
+	"monsoondale/platform/fake"
+)
+
+// streamEvents is the length of all streams.
+const streamEvents = 6
+
+var paths = []string{"/once/", "/again/", "/stream/", "/stream-once/"}
+
+// outcome is what a caller saw of one request.
+type outcome struct {
+	id, path string
+	at       time.Time
+	instance string
+	status   int // 0 without a response
+	retry    time.Duration
+	framing  framing.Framing
+	signed   bool
+	body     string
+	err      error
+}
+
+// call sends one request to an instance. timeout is how long the caller waits, which the request states.
+func (w *world) call(c *http.Transport, i *instance, path, id string, timeout time.Duration) outcome {
+	o := outcome{id: id, path: path, at: time.Now(), instance: i.name}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+500*time.Millisecond)
+	defer cancel()
+	resp, err := c.RoundTrip(fake.NewRequest(i.address(), path, id, timeout).WithContext(ctx))
+	if err != nil {
+		o.err = err
+		return o
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		o.retry = time.Duration(s * float64(time.Second))
+	}
+	o.status, o.framing, o.signed, o.body, o.err = resp.StatusCode, framing.Of(resp), fake.Signed(resp), string(b), err
+	return o
+}
+
+// caller sends requests to an instance until ctx ends, on a connection that it uses as long as it is open.
+func (w *world) caller(ctx context.Context, i *instance, n int) {
+	r := w.random(fmt.Sprint("caller", i.name, n))
+	c := &http.Transport{MaxConnsPerHost: 1}
+	defer c.CloseIdleConnections()
+	for k := 0; ctx.Err() == nil; k++ {
+		path := paths[r.IntN(len(paths))]
+		timeout := time.Duration(300+r.IntN(2500)) * time.Millisecond
+		o := w.call(c, i, path, fmt.Sprintf("%s-%d-%d", i.name, n, k), timeout)
+		w.record(o)
+		if o.status == 0 { // nobody listens, or the connection broke
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(o.retry + time.Duration(r.IntN(20))*time.Millisecond)
+	}
+}
+
+// check returns why the outcome breaks a promise to its caller, or an empty string. runs are the runs of the request at all
+// endpoints.
+func (o *outcome) check(runs []fake.Run) string {
+	atMostOnce := o.path == "/once/" || o.path == "/stream-once/"
+	if atMostOnce && len(runs) > 1 {
+		return fmt.Sprintf("ran %d times", len(runs))
+	}
+	for _, r := range runs {
+		if r.Tenant != "desk" || r.Key != "" || r.Path != o.path || r.Body != "prompt" {
+			return fmt.Sprintf("reached an endpoint as %+v", r)
+		}
+	}
+	switch o.status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if len(runs) > 0 {
+			return "was said not to have run, and ran"
+		}
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		return "is allowed by all configurations"
+	case http.StatusOK:
+		return o.checkSuccess(runs)
+	}
+	return ""
+}
+
+// checkSuccess checks a successful response.
+func (o *outcome) checkSuccess(runs []fake.Run) string {
+	whole := "answer to " + o.id
+	if strings.HasPrefix(o.path, "/stream") {
+		whole = fake.StreamBody(o.id, streamEvents)
+		if o.body != whole && o.body != "" && !strings.HasSuffix(o.body, "\n\n") && o.err == nil {
+			return "is a stream that ends inside an event"
+		}
+	}
+	switch {
+	case !o.signed:
+		return "is a success without a signature"
+	case !strings.HasPrefix(whole, o.body):
+		return "has the wrong body"
+	case len(runs) == 0:
+		return "did not run"
+	case o.err != nil || o.body == whole:
+		return ""
+	case o.framing != framing.Close:
+		return "is incomplete and states an end"
+	}
+	for _, r := range runs {
+		if r.OpenEnd == o.body {
+			return "" // nobody knows that it is incomplete
+		}
+	}
+	return "is incomplete and looks complete"
+}
--- /dev/null
+++ b/test/soak/process_test.go
@@ -0,0 +1,192 @@
+package soak_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"monsoondale/platform/fake"
+)
+
+// grace is the time between SIGTERM and SIGKILL.
+const grace = 3 * time.Second
+
+// instance is one instance of the gateway. Whenever its process ends, another one is started.
+type instance struct {
+	w        *world
+	name, ip string
+	store    *link
+
+	mu         sync.Mutex
+	retryExtra int           // in the settings; each change of these has another value
+	process    *process      // the current one
+	startDelay time.Duration // between the end of a process and the start of the next one
+	closed     bool          // no more processes are started
+}
+
+// process is one process of an instance.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the process has ended
+
+	mu         sync.Mutex
+	terminated bool // the soak has ended the process, or is about to
+	pauses     int  // number of pauses that are in progress
+	lastPaused time.Time
+}
+
+func (i *instance) address() string      { return i.ip + ":8000" }
+func (i *instance) settingsPath() string { return filepath.Join(i.w.dir, i.name+".toml") }
+
+func (i *instance) writeSettings() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.retryExtra++
+	text := fake.Settings(i.name, i.ip, "a", i.store.address(), grace, 50+i.retryExtra)
+	if err := os.WriteFile(i.settingsPath(), []byte(text), 0o600); err != nil {
+		i.w.violation("write settings: %v", err)
+	}
+}
+
+// start starts a process.
+func (i *instance) start() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed {
+		return
+	}
+	log, err := os.OpenFile(filepath.Join(i.w.dir, i.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		i.w.violation("open log: %v", err)
+		return
+	}
+	defer log.Close()
+	cmd := exec.Command(binary, "gateway", "--settings", i.settingsPath())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		i.w.violation("start %s: %v", i.name, err)
+		return
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	i.process = p
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		if !p.terminated {
+			i.w.violation("%s ended by itself: %v", i.name, err)
+		}
+		p.mu.Unlock()
+		close(p.done)
+		i.mu.Lock()
+		delay := i.startDelay
+		i.mu.Unlock()
+		time.Sleep(delay)
+		i.start()
+	}()
+}
+
+// current returns the process that runs or was the last to run.
+func (i *instance) current() *process {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.process
+}
+
+// signal sends a signal.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.terminated = p.terminated || s == syscall.SIGKILL || s == syscall.SIGTERM
+	p.cmd.Process.Signal(s) // fails only if the process has ended
+}
+
+// kill ends the process and has the next one started after a delay.
+func (i *instance) kill(startDelay time.Duration) {
+	i.mu.Lock()
+	i.startDelay = startDelay
+	i.mu.Unlock()
+	p := i.current()
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop ends the process with SIGTERM, as the platform does.
+func (i *instance) stop() {
+	p := i.current()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		if code := p.cmd.ProcessState.ExitCode(); code > 0 {
+			i.w.violation("%s ended with exit code %d after SIGTERM", i.name, code)
+		}
+		return
+	case <-time.After(grace):
+	}
+	p.mu.Lock()
+	if p.pauses == 0 && time.Since(p.lastPaused) > grace {
+		i.w.violation("%s still runs %v after SIGTERM", i.name, grace)
+	}
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// pause suspends the process.
+func (i *instance) pause(length time.Duration) {
+	p := i.current()
+	add := func(n int) int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pauses += n
+		p.lastPaused = time.Now()
+		return p.pauses
+	}
+	add(1)
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	if add(-1) == 0 {
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// close ends the process for good.
+func (i *instance) close() {
+	i.mu.Lock()
+	i.closed = true
+	i.mu.Unlock()
+	i.kill(0)
+}
+
+// ready reports whether the instance passes its health check.
+func (i *instance) ready() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + i.ip + ":8001/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// logLines returns the lines of all instances that contain a text.
+func (w *world) logLines(text string) string {
+	var out strings.Builder
+	for _, i := range w.instances {
+		b, err := os.ReadFile(filepath.Join(w.dir, i.name+".log"))
+		if err != nil {
+			fmt.Fprintln(&out, err)
+		}
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, text) {
+				out.WriteString(i.name + " " + line)
+			}
+		}
+	}
+	return out.String()
+}
