--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -256,7 +256,7 @@
 	switch {
 	case res.Unframed:
 		x.recordError(peerconn.DelimitByClose(x.r.Context(), x.w.Header()))
-	case x.r.Method != http.MethodHead: // whose length would be that of the body of a GET
+	case x.r.Method != http.MethodHead: // a response to HEAD has no body, and its length would be that of a GET
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
 	}
 	x.w.WriteHeader(res.Status)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -223,7 +223,7 @@
 		return x.respondError(http.StatusBadGateway, "out of memory"), false
 	}
 	a.outcome = pool.Broken
-	if errors.Is(err, errUnknownEnd) {
+	if errors.Is(err, errUnknownEnd) { // not known to be the endpoint's fault
 		a.outcome = pool.Served
 	}
 	switch {
