gateway: apply reloaded retry settings to services in use

A reload changed the retry budget only of services without requests so far; all others kept the limits of the start of the process, also if the new ones were lower. Found while reading. What has been counted stays counted.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -48,6 +48,28 @@
 	return &b.ring[b.newest%sliceCount]
 }
 
+// Configure replaces the options. What has been counted stays counted; if the length of the window changes, as if it had
+// happened now.
+func (b *Budget) Configure(now time.Time, o Options) {
+	if o.Window != b.o.Window {
+		b.advance(now)
+		total := b.total()
+		b.o, b.newest, b.ring = o, 0, [sliceCount]slice{}
+		*b.advance(now) = total
+	}
+	b.o = o
+}
+
+// total returns the counts of the window.
+func (b *Budget) total() slice {
+	var t slice
+	for _, v := range b.ring {
+		t.requests += v.requests
+		t.retries += v.retries
+	}
+	return t
+}
+
 // CountRequest counts a request of a caller.
 func (b *Budget) CountRequest(now time.Time) { b.advance(now).requests++ }
 
@@ -55,11 +77,7 @@
 // that share Extra.
 func (b *Budget) Take(now time.Time, instances int) bool {
 	s := b.advance(now)
-	var total slice
-	for _, v := range b.ring {
-		total.requests += v.requests
-		total.retries += v.retries
-	}
+	total := b.total()
 	if total.retries+1 > b.o.Margin*(b.o.Ratio*total.requests+b.o.Extra/float64(max(instances, 1))) {
 		return false
 	}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -66,3 +66,38 @@
 	g.Expect(b.Take(begin.Add(5*time.Second), 1)).To(BeFalse())
 	g.Expect(b.Take(begin.Add(11*time.Second), 1)).To(BeTrue())
 }
+
+// Guards against a budget that keeps its old limits when the settings change, and against new limits that forget the
+// retries already taken.
+func TestConfigure(t *testing.T) {
+	const window = 10 * time.Second
+	for _, c := range []struct {
+		name    string
+		o       retry.Options
+		allowed int // after 6 of 10 retries have been taken
+	}{
+		{"lower", retry.Options{Window: window, Extra: 8, Margin: 1}, 2},
+		{"below what was taken", retry.Options{Window: window, Extra: 4, Margin: 1}, 0},
+		{"higher", retry.Options{Window: window, Extra: 12, Margin: 1}, 6},
+		{"longer window", retry.Options{Window: 2 * window, Extra: 10, Margin: 1}, 4},
+		{"shorter window", retry.Options{Window: window / 10, Extra: 10, Margin: 1}, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := retry.New(retry.Options{Window: window, Extra: 10, Margin: 1})
+			take := func(now time.Time, most int) int {
+				n := 0
+				for n < most && b.Take(now, 1) {
+					n++
+				}
+				return n
+			}
+			g.Expect(take(begin, 3)).To(Equal(3))
+			now := begin.Add(5 * time.Second)
+			g.Expect(take(now, 3)).To(Equal(3))
+			b.Configure(now, c.o)
+			g.Expect(take(now, 100)).To(Equal(c.allowed))
+			g.Expect(take(now.Add(c.o.Window*11/10), 100)).To(Equal(int(c.o.Extra)), "when all has left the window")
+		})
+	}
+}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -30,11 +30,14 @@
 	return b
 }
 
-// configure sets the options of the retry budgets that are created from now on. Existing ones keep theirs.
+// configure sets the options of the retry budgets.
 func (b *budgets) configure(s *Settings) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.retryOptions = retry.Options{Window: s.RetryWindow, Ratio: s.RetryRatio, Extra: s.RetryExtra, Margin: usableRetryShare}
+	for _, r := range b.retries {
+		r.Configure(time.Now(), b.retryOptions)
+	}
 }
 
 // reservePerRank is the part of a quota that each rank leaves for the more urgent ones. It is about the usage of
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -46,8 +46,8 @@
 	g.log.Info("stopped", "cut", unfinished, "took", time.Since(started).String())
 }
 
-// Reload applies the retry settings to services without a retry budget so far. All other settings stay as they were at
-// the start of the process, and a changed address is only logged.
+// Reload applies the retry settings. All other settings stay as they were at the start of the process, and a changed address
+// is only logged.
 func (g *Gateway) Reload(s *Settings) {
 	old := g.o.Settings
 	g.budgets.configure(s)
