io/mesh: compress copies and limit how many are sent at once

A copy is now compressed, at most four are sent at once, and an instance that was turned away asks again after 50 to 150 ms, by then usually one that has received its copy. A copy that breaks off no longer ends as if complete.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -39,6 +40,9 @@
 	// fetchDelay is how long, beyond twice batchPause, an instance that watches the store waits for a newer revision from
 	// there before it fetches another instance's copy. Other instances fetch the copy at once.
 	fetchDelay = 120 * time.Millisecond
+	// fetchRetryDelay is the mean time after a failed fetch before the next one. Digests, each of which may cause a fetch,
+	// arrive every few milliseconds in large fleets.
+	fetchRetryDelay = 100 * time.Millisecond
 	// stallThreshold is the gap between two ticks above which the process is assumed not to have run in between.
 	stallThreshold = 400 * time.Millisecond
 	// endpointGrace is how long an endpoint's entry is kept after it was found to be missing following an outage of the
@@ -430,6 +434,7 @@
 		w, err := g.mesh.FetchCopy(ctx, address, c.String(), since)
 		if err != nil {
 			g.log.Info("cannot fetch copy", "collection", c.String(), "from", m.Name, "cause", err.Error())
+			sleep(ctx, fetchRetryDelay/2+rand.N(fetchRetryDelay))
 		} else {
 			u.rev, u.complete = core.Revision(w.Revision), !w.Partial
 			for _, it := range w.Items {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -3,11 +3,13 @@
 package mesh
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +26,9 @@
 	maxCopyBytes = 8 << 20
 	// maxHeaderBytes is the size of the largest header of a request for a copy.
 	maxHeaderBytes = 8 << 10
+	// maxTransfers is the number of copies that are sent at once. Further ones would only share the link, which may be slow,
+	// until all of them exceed fetchTimeout. The instances that are turned away fetch from those that have received theirs.
+	maxTransfers = 4
 	// receiveBufferBytes is the size of the receive buffer of the socket. It holds the digests of several hundred instances.
 	receiveBufferBytes = 512 << 10
 )
@@ -46,6 +51,8 @@
 	udp    *net.UDPConn
 	server *http.Server
 	client *http.Client
+	// transfers has an element for each copy that is being sent.
+	transfers chan struct{}
 }
 
 // Listen opens the sockets and starts receiving.
@@ -66,7 +73,7 @@
 		udp.Close()
 		return nil, errors.Wrap(err, "listen for copies")
 	}
-	m := &Mesh{o: o, udp: udp, client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeaderBytes}}}
+	m := &Mesh{o: o, udp: udp, transfers: make(chan struct{}, maxTransfers), client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeaderBytes}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /copy/{collection}", m.serveCopy)
 	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchTimeout, WriteTimeout: 5 * fetchTimeout, MaxHeaderBytes: maxHeaderBytes}
@@ -115,15 +122,39 @@
 		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	select {
+	case m.transfers <- struct{}{}:
+		defer func() { <-m.transfers }()
+	default:
+		http.Error(w, "too many transfers", http.StatusServiceUnavailable)
+		return
+	}
 	c, ok := m.o.Copy(r.PathValue("collection"), after)
 	if !ok {
 		http.Error(w, "no copy", http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(c); err != nil {
+	if err := writeCopy(w, c, strings.Contains(r.Header.Get("Accept-Encoding"), "gzip")); err != nil {
 		m.o.OnError(errors.Wrap(err, "send copy"))
+		panic(http.ErrAbortHandler) // the response must not look complete
+	}
+}
+
+// writeCopy writes a copy, compressed if the receiver allows it.
+func writeCopy(w http.ResponseWriter, c mesh.Copy, compress bool) error {
+	if !compress {
+		return json.NewEncoder(w).Encode(c)
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(z).Encode(c); err != nil {
+		return err
 	}
+	return z.Close()
 }
 
 // FetchCopy fetches another instance's copy of a collection, or only the changes after a revision.
