io/proxy: prove refusals, continue streams only with their rest, do not cut slow streams

Causes, each shown by a test that failed on: * A request that was refused and sent to the same endpoint again used the same connection. A late copy of the refusal, which bears the id of the request, was taken for the answer, and the order ran twice (TestRefusalSentTwice). Such a request now gets a connection of its own. Without an id, a response counts only on a new connection. * 408, 421, 429 and 503 of an endpoint that does not state that the request did not run were relayed, which tells the caller so (TestAtMostOnce, four cases). The attempt is now cancelled only if a retry is left for it (TestSlowStreamIsNotCut); otherwise its deadline ends it (TestDrippingStreamEnds).

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -1,6 +1,7 @@
 // Package endpoint is an HTTP/1.1 client for endpoints. It sends each request at most once and distinguishes requests
 // that were certainly not sent from those that may have been. It matches responses to requests by the request id that
-// endpoints echo, because a faulty endpoint may send a response twice or late.
+// endpoints echo, because a faulty endpoint may send a response twice or late. A response without an id is accepted only on a
+// new connection.
 package endpoint
 
 import (
@@ -81,6 +82,9 @@
 	Body   []byte
 	// NonIdempotent marks a request that must not be sent on a connection that has been idle for long.
 	NonIdempotent bool
+	// NewConnection requires a connection on which no request has been sent. A request that is sent to the same endpoint
+	// again needs one: on a connection that it has used, a late copy of the earlier response would be taken for its own.
+	NewConnection bool
 	// BeforeSend is called when a connection is available, immediately before the request is sent. After an error, nothing
 	// is sent. May be nil.
 	BeforeSend func() error
@@ -160,7 +164,7 @@
 // Do sends a request to an address and returns the response once its header has arrived. When ctx ends, reads of the body
 // fail.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Response, error) {
-	cn, reused, err := c.connection(ctx, address, r.NonIdempotent)
+	cn, reused, err := c.connection(ctx, address, &r)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -199,7 +203,9 @@
 		if hr.StatusCode < 200 {
 			continue
 		}
-		if id := hr.Header.Get(c.o.RequestIDHeader); id != "" && id != string(r.ID) {
+		id := hr.Header.Get(c.o.RequestIDHeader)
+		matched := id == string(r.ID) || id == "" && !reused
+		if !matched {
 			n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, maxSkippedBytes))
 			if err == nil && n == maxSkippedBytes {
 				err = ErrMismatchedResponse
@@ -243,9 +249,9 @@
 }
 
 // connection returns an idle or a new connection to the address, and reports whether it is reused.
-func (c *Client) connection(ctx context.Context, address string, nonIdempotent bool) (*conn, bool, error) {
-	for {
-		cn := c.takeIdle(address, nonIdempotent)
+func (c *Client) connection(ctx context.Context, address string, r *Request) (*conn, bool, error) {
+	for !r.NewConnection {
+		cn := c.takeIdle(address, r.NonIdempotent)
 		if cn == nil {
 			break
 		}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -42,9 +43,11 @@
 	errNoResponse         = errors.New("no response in time") // or a pause within a stream
 	errUnexpectedEncoding = errors.New("response has a content encoding that was not requested")
 	errEventOrder         = errors.New("event out of order")
+	errOtherContent       = errors.New("response is not the continuation of the stream")
 	errTruncated          = errors.New("stream ended inside an event")
 	errNoEvents           = errors.New("connection ended before the first event of a stream")
 	errUnknownEnd         = errors.New("connection ended, and the endpoint did not state whether the stream is complete")
+	errUnprovenRefusal    = errors.New("refusal of an endpoint that does not state that the request did not run")
 	errTooLarge           = errors.New("response or event is too large to buffer")
 )
 
@@ -56,9 +59,10 @@
 	outcome pool.Outcome
 	resp    *endpoint.Response
 	started time.Time
+	cancel  context.CancelCauseFunc
 	// responseTimer cancels the attempt if no response begins; nil if the request may not be retried.
 	responseTimer *time.Timer
-	// retryTaken is set once the response timer has taken a retry from the retry budget for this attempt.
+	// retryTaken is set once a timer has taken a retry from the retry budget for this attempt.
 	retryTaken atomic.Bool
 }
 
@@ -69,23 +73,32 @@
 	x.tried = append(x.tried, g.Endpoint.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{x: x, ctx: ctx, grant: g, outcome: pool.Cancelled, started: time.Now()}
+	a := &attempt{x: x, ctx: ctx, grant: g, outcome: pool.Cancelled, started: time.Now(), cancel: cancel}
 	defer func() { x.pool.Release(time.Now(), g, a.outcome) }()
 	if timeout := x.responseTimeout(g); timeout > 0 {
 		a.responseTimer = time.AfterFunc(timeout, func() {
 			// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so
 			// far. The timer is not set again: from now on only the deadline limits the wait for this response.
-			if x.pool.RespondedSince(g) || !x.handler.o.Budgets.TakeRetry(x.service) {
-				return
+			if !x.pool.RespondedSince(g) {
+				a.cancelForRetry(errNoResponse)
 			}
-			a.retryTaken.Store(true)
-			cancel(errNoResponse)
 		})
 		defer a.responseTimer.Stop()
 	}
 	return a.send()
 }
 
+// cancelForRetry cancels the attempt so that another endpoint serves the request, if a retry is left in the budget and there is
+// time for it.
+func (a *attempt) cancelForRetry(cause error) {
+	x := a.x
+	if time.Until(x.deadline) < minTimeForRetry || !x.handler.o.Budgets.TakeRetry(x.service) {
+		return
+	}
+	a.retryTaken.Store(true)
+	a.cancel(cause)
+}
+
 // recordResponseStart stops the response timer and records the time to the first event.
 func (a *attempt) recordResponseStart() {
 	if a.responseTimer != nil {
@@ -111,6 +124,7 @@
 	resp, err := x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
+		NewConnection: slices.Contains(x.tried[:len(x.tried)-1], a.grant.Endpoint.ID),
 		BeforeSend: func() error {
 			if x.callerLeft() {
 				return peerconn.ErrClosed
@@ -152,6 +166,8 @@
 	switch {
 	case success && !responseInfo.Signed:
 		return a.handleFailedAttempt(errUnsigned)
+	case promisesNotRun(resp.StatusCode):
+		return a.handleFailedAttempt(errUnprovenRefusal)
 	case resp.Header.Get("Content-Encoding") != "":
 		return a.handleFailedAttempt(errUnexpectedEncoding)
 	case x.route.Kind == route.Stream && success:
@@ -161,6 +177,15 @@
 	}
 }
 
+// promisesNotRun reports whether a status tells callers that the request did not run. It is relayed only with proof.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // responseTimeout returns how long to wait for a response to begin before another endpoint is tried. It returns 0 if the
 // request may not be retried.
 func (x *exchange) responseTimeout(g *pool.Grant) time.Duration {
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -187,6 +187,7 @@
 	tried           []core.EndpointID // endpoints to avoid in further attempts
 	headerWritten   bool              // the header of the response has been written
 	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
+	begunStatus     int               // status of a stream that has begun
 	fallback        *bufferedResponse // error response of an endpoint, relayed if no other endpoint succeeds
 	lastEventID     string            // id of the last event that was written to the caller, or that its request states
 	notResumable    bool              // an event without an id was written; another endpoint would send it again
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"iter"
-	"os"
 	"strconv"
 	"time"
 
@@ -25,25 +24,26 @@
 // can continue the stream after the last one.
 func (a *attempt) relayStream() (result, bool) {
 	x, resp := a.x, a.resp
+	continued := x.headerWritten
+	if continued && (resp.StatusCode != x.begunStatus || resp.Header.Get("Content-Type") != x.w.Header().Get("Content-Type")) {
+		return a.handleFailedAttempt(errOtherContent)
+	}
 	var (
 		buf       = make([]byte, 0, streamBufferBytes)
 		numbered  int // number of events with an id; only the intervals between these are recorded
 		hasEvents bool
 		firstRead time.Time
 		lastRead  time.Time
-		lastEvent time.Time // when the last complete event was relayed, or the first bytes were read
-		endErr    error     // why the stream ended; io.EOF if it is complete
+		endErr    error // why the stream ended; io.EOF if it is complete
 	)
+	stopSilenceTimer := func() {}
+	defer func() { stopSilenceTimer() }()
 	defer func() {
 		if numbered > 1 {
 			x.pool.RecordEvents(a.grant, numbered-1, lastRead.Sub(firstRead))
 		}
 	}()
 	for endErr == nil {
-		if !firstRead.IsZero() && x.route.Resumable {
-			// Bytes that complete no event are no progress.
-			resp.SetReadDeadline(lastEvent.Add(streamSilenceTimeout)) // fails only on closed connections
-		}
 		var err error
 		if buf, err = x.ensureSpace(buf); err != nil {
 			return a.handleFailedAttempt(err)
@@ -54,11 +54,12 @@
 		if n > 0 {
 			lastRead = time.Now()
 			if firstRead.IsZero() {
-				firstRead, lastEvent = lastRead, lastRead
+				firstRead = lastRead
 				a.recordResponseStart()
+				stopSilenceTimer = a.startSilenceTimer()
 			}
 		}
-		events, scanErr := scanEvents(buf, x.lastEventID)
+		events, scanErr := scanEvents(buf, x.lastEventID, continued)
 		numbered += events.numbered
 		hasEvents = hasEvents || events.numbered+events.unnumbered > 0
 		completeLen, rest := events.length, buf[events.length:]
@@ -75,7 +76,9 @@
 			}
 			x.lastEventID = events.lastID
 			x.notResumable = x.notResumable || events.unnumbered > 0
-			lastEvent = time.Now()
+			// Bytes that complete no event are no progress.
+			stopSilenceTimer()
+			stopSilenceTimer = a.startSilenceTimer()
 			buf = append(buf[:0], buf[completeLen:]...)
 		}
 		if scanErr != nil {
@@ -86,9 +89,6 @@
 		}
 	}
 	if endErr != io.EOF {
-		if errors.Is(endErr, os.ErrDeadlineExceeded) && a.ctx.Err() == nil {
-			endErr = errNoResponse
-		}
 		return a.handleFailedAttempt(endErr)
 	}
 	resp.MarkBodyRead()
@@ -102,6 +102,18 @@
 	return result{status: resp.StatusCode, reason: "served"}, false
 }
 
+// startSilenceTimer starts a timer that cancels the attempt after streamSilenceTimeout, so that another endpoint continues the
+// stream. It does nothing if no other endpoint may: a slow stream is better than a broken one, and its deadline ends it. The
+// result stops the timer.
+func (a *attempt) startSilenceTimer() func() {
+	x := a.x
+	if !x.route.Resumable || x.notResumable || x.possibleRuns >= x.route.Attempts {
+		return func() {}
+	}
+	t := time.AfterFunc(streamSilenceTimeout, func() { a.cancelForRetry(errNoResponse) })
+	return func() { t.Stop() }
+}
+
 // checkEnd returns io.EOF if the end of the endpoint's response is the end of the stream, or else why it is not. rest is
 // what followed the last complete event.
 func (a *attempt) checkEnd(rest []byte, hasEvents bool) error {
@@ -131,7 +143,7 @@
 		}
 		x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)) // fails only on closed connections
 		x.w.WriteHeader(a.resp.StatusCode)
-		x.headerWritten = true
+		x.headerWritten, x.begunStatus = true, a.resp.StatusCode
 	}
 	if len(events) == 0 {
 		return nil
@@ -154,8 +166,9 @@
 }
 
 // scanEvents finds the complete events at the beginning of b. prevID is the id of the event before b. It returns an error
-// at an event whose id does not follow the previous one; the result covers the events before it.
-func scanEvents(b []byte, prevID string) (scannedEvents, error) {
+// at an event whose id does not follow the previous one; the result covers the events before it. With needIDs, an event
+// without an id is an error too: in a stream that another endpoint continues, it may be the text of an error.
+func scanEvents(b []byte, prevID string, needIDs bool) (scannedEvents, error) {
 	s := scannedEvents{lastID: prevID}
 	for {
 		n := eventLength(b[s.length:])
@@ -170,7 +183,10 @@
 		case ok:
 			s.lastID = id
 			s.numbered++
-		case !isComment(event):
+		case isComment(event):
+		case needIDs:
+			return s, errEventOrder
+		default:
 			s.unnumbered++
 		}
 		s.length += n
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -30,7 +30,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			got, err := scanEvents([]byte(c.body), "4")
+			got, err := scanEvents([]byte(c.body), "4", false)
 			if c.err != nil {
 				g.Expect(err).To(MatchError(c.err))
 			} else {
