core/pool: heed endpoints that state that they leave or for how long they want no requests

Both are notices of one start of an endpoint, kept apart from failures: they hold through changed, removed and returned entries, older copies and configurations until the endpoint starts again, and a success anywhere does not end them. A request that was granted is checked again immediately before it is sent. If all endpoints wait, callers are told when the first one accepts requests, up to a quarter longer each, so that they do not return together. Peers are not told: the store's entry does that, and a faulty response must not close an endpoint for the fleet.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -36,6 +36,8 @@
 	// no time is estimated.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// returnSpread is the ratio of the longest to the shortest Retry-After of callers that wait for the same time.
+	returnSpread = 1.25
 )
 
 // enqueue inserts a ticket into the queue in the order of precedes.
@@ -149,7 +151,7 @@
 		if slices.Contains(exclude, e.ID) {
 			continue
 		}
-		if !e.Leaving {
+		if !e.leaving() {
 			listed = true
 		}
 		if !e.available(now) {
@@ -176,6 +178,9 @@
 	if !listed {
 		return Refusal{RetryAfter: minRetryAfter, Reason: "no endpoint"}
 	}
+	if end, ok := p.waitEnd(now, exclude); ok && !t.canWaitUntil(end) {
+		return Refusal{RetryAfter: p.spread(end.Sub(now)), Reason: "endpoints wait"}
+	}
 	if t.late { // waits only for a part of the time from arrival to deadline
 		if now.Sub(t.req.Arrived) > time.Duration(lateWaitShare*float64(t.req.Deadline.Sub(t.req.Arrived))) {
 			return Refusal{RetryAfter: p.retryAfter(), Reason: "overload"}
@@ -184,6 +189,20 @@
 	return nil
 }
 
+// canWaitUntil reports whether a request can wait in the queue until a time at which an endpoint accepts requests again: it
+// can still be on time then, or its caller is receiving the response already.
+func (t *Ticket) canWaitUntil(end time.Time) bool {
+	if t.req.Begun {
+		return end.Before(t.req.Deadline)
+	}
+	return end.Before(t.req.Objective)
+}
+
+// spread returns a time from d to returnSpread times d, so that callers that are refused together return one by one.
+func (p *Pool) spread(d time.Duration) time.Duration {
+	return max(time.Duration((1+(returnSpread-1)*p.rng.Float64())*float64(d)), minRetryAfter)
+}
+
 // candidate is an endpoint that a request may be sent to.
 type candidate struct {
 	*endpointState
@@ -229,7 +248,7 @@
 // excluded returns the endpoints to skip for a request: those that were tried, unless no other is left.
 func (p *Pool) excluded(req *Request) []core.EndpointID {
 	for _, e := range p.orderedEndpoints {
-		if !e.Leaving && !slices.Contains(req.Exclude, e.ID) {
+		if !e.leaving() && !slices.Contains(req.Exclude, e.ID) {
 			return req.Exclude
 		}
 	}
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -61,8 +61,13 @@
 	consecutiveSuspensions int  // at most maxConsecutiveSuspensions; 0 after a success
 	probing                bool // a probe is in progress
 	suspendedByPeers       bool // suspended because of failures that other instances reported
+
+	notice *noticeState // what this start of the endpoint has stated in responses; nil if nothing
 }
 
+// leaving reports whether the endpoint is shutting down, according to its entry or its own responses.
+func (e *endpointState) leaving() bool { return e.Leaving || e.notice != nil && e.notice.leaving }
+
 // totalRunning returns the number of requests of all instances.
 func (e *endpointState) totalRunning() int { return e.ownRunning + e.peerLoad.running }
 
@@ -77,7 +82,7 @@
 // available reports whether the endpoint may get a request now. After a suspension it gets one request at a time, the
 // probe, until one succeeds. The exception is the suspension after Moved, which is not counted and needs no probe.
 func (e *endpointState) available(now time.Time) bool {
-	if e.Leaving || now.Before(e.suspendedUntil) {
+	if e.Leaving || e.notice.closed(now) || now.Before(e.suspendedUntil) {
 		return false
 	}
 	return e.consecutiveSuspensions == 0 || !e.probing
@@ -87,7 +92,7 @@
 func (e *endpointState) recordOutcome(now time.Time, o Outcome) {
 	var failed float64
 	switch o {
-	case Cancelled:
+	case Cancelled, Deferred:
 		return
 	case Served:
 		// suspendedUntil stays: if a request that was sent earlier succeeds during the suspension, the endpoint stays
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -47,6 +47,8 @@
 	Exclude []core.EndpointID
 	// Retried marks a request that was already sent to another endpoint; its caller may be receiving the response.
 	Retried bool
+	// Begun marks a request whose caller is receiving the response, which can no longer be refused.
+	Begun bool
 }
 
 // Decision is the result of scheduling a request: a *Grant or a Refusal.
@@ -111,10 +113,12 @@
 	Broken
 	// Moved means that the address now belongs to another endpoint; the request did not run.
 	Moved
+	// Deferred is a rejection that states how long to wait; the request did not run.
+	Deferred
 )
 
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "cancelled", "unreachable", "rejected", "broken", "moved"}[o]
+	return [...]string{"served", "failed", "cancelled", "unreachable", "rejected", "broken", "moved", "deferred"}[o]
 }
 
 // Ticket is the queue entry of a request.
@@ -147,6 +151,7 @@
 	mu                 sync.Mutex
 	o                  Options
 	endpoints          map[core.EndpointID]*endpointState
+	notices            map[core.EndpointID]*noticeState
 	orderedEndpoints   []*endpointState // by id
 	queue              []*Ticket        // in the order of precedes
 	peers              map[core.InstanceID]peerReport
@@ -166,7 +171,7 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, peers: map[core.InstanceID]peerReport{}, rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]peerReport{}, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // SetEndpoints replaces the list of endpoints. Requests at endpoints that are no longer listed continue.
@@ -182,7 +187,12 @@
 			p.endpoints[entry.ID] = e
 		}
 		e.Endpoint = entry
+		e.notice = nil
+		if n := p.notices[entry.ID]; n.appliesTo(&entry) {
+			e.notice = n
+		}
 	}
+	p.pruneNotices(now)
 	p.orderedEndpoints = p.orderedEndpoints[:0]
 	for id, e := range p.endpoints {
 		if !listed[id] {
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -88,6 +88,9 @@
 	// BeforeSend is called when a connection is available, immediately before the request is sent. After an error, nothing
 	// is sent. May be nil.
 	BeforeSend func() error
+	// OnHeader is called with the header of each final response that arrives on the connection while this request waits for
+	// its own. matched is false for a response to another request. May be nil.
+	OnHeader func(r *http.Response, matched bool)
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -205,6 +208,9 @@
 		}
 		id := hr.Header.Get(c.o.RequestIDHeader)
 		matched := id == string(r.ID) || id == "" && !reused
+		if r.OnHeader != nil {
+			r.OnHeader(hr, matched)
+		}
 		if !matched {
 			n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, maxSkippedBytes))
 			if err == nil && n == maxSkippedBytes {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -47,6 +47,7 @@
 	errTruncated          = errors.New("stream ended inside an event")
 	errNoEvents           = errors.New("connection ended before the first event of a stream")
 	errUnknownEnd         = errors.New("connection ended, and the endpoint did not state whether the stream is complete")
+	errEndpointClosed     = errors.New("endpoint leaves or asked to wait")
 	errUnprovenRefusal    = errors.New("refusal of an endpoint that does not state that the request did not run")
 	errTooLarge           = errors.New("response or event is too large to buffer")
 )
@@ -58,6 +59,7 @@
 	grant   *pool.Grant
 	outcome pool.Outcome
 	resp    *endpoint.Response
+	info    ResponseInfo // of resp
 	started time.Time
 	cancel  context.CancelCauseFunc
 	// responseTimer cancels the attempt if no response begins; nil if the request may not be retried.
@@ -125,10 +127,14 @@
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
 		NewConnection: slices.Contains(x.tried[:len(x.tried)-1], a.grant.Endpoint.ID),
+		OnHeader:      a.recordNotice,
 		BeforeSend: func() error {
 			if x.callerLeft() {
 				return peerconn.ErrClosed
 			}
+			if !x.pool.Accepts(time.Now(), a.grant) {
+				return errEndpointClosed
+			}
 			x.stage = stageRun
 			return nil
 		},
@@ -137,7 +143,10 @@
 	switch {
 	case errors.As(err, &unsent):
 		x.cause = err
-		if a.ctx.Err() == nil && !errors.Is(err, peerconn.ErrClosed) {
+		switch {
+		case errors.Is(err, errEndpointClosed):
+			return x.handleNotRun(a.ctx, "endpoint leaves or waits")
+		case a.ctx.Err() == nil && !errors.Is(err, peerconn.ErrClosed):
 			a.outcome = pool.Unreachable
 		}
 		return x.handleNotRun(a.ctx, "endpoint unreachable")
@@ -150,7 +159,7 @@
 	a.resp = resp
 	x.sends++
 	x.recordFraming(resp.Framing)
-	responseInfo := x.handler.o.Headers.ParseResponse(resp.Response)
+	responseInfo := a.info
 	switch {
 	case responseInfo.Misdirected:
 		a.outcome = pool.Moved
@@ -158,6 +167,9 @@
 		return x.handleNotRun(a.ctx, "endpoint moved")
 	case responseInfo.NotRun:
 		a.outcome = pool.Rejected
+		if responseInfo.Notice.Wait > 0 {
+			a.outcome = pool.Deferred
+		}
 		a.discardBody()
 		return x.handleNotRun(a.ctx, "endpoint rejected the request")
 	}
@@ -177,6 +189,18 @@
 	}
 }
 
+// recordNotice reads the header of a response and records what the endpoint states about itself. Of a response to another request, only that it leaves counts:
+// a late copy of a rejection would extend the wait.
+func (a *attempt) recordNotice(r *http.Response, matched bool) {
+	info := a.x.handler.o.Headers.ParseResponse(r)
+	if matched {
+		a.info = info
+	} else {
+		info.Notice = pool.Notice{Leaving: info.Notice.Leaving}
+	}
+	a.x.pool.RecordNotice(time.Now(), a.grant, info.Notice)
+}
+
 // promisesNotRun reports whether a status tells callers that the request did not run. It is relayed only with proof.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -72,6 +72,7 @@
 	Signed      bool // the response has the endpoint's signature
 	NotRun      bool // the endpoint did not run the request
 	Misdirected bool // another endpoint has the address; the request did not run
+	Notice      pool.Notice
 }
 
 // HeaderCodec reads and writes the headers of the platform's protocol.
@@ -186,8 +187,8 @@
 	possibleRuns    int               // number of endpoints that may have run it
 	tried           []core.EndpointID // endpoints to avoid in further attempts
 	headerWritten   bool              // the header of the response has been written
-	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
 	begunStatus     int               // status of a stream that has begun
+	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
 	fallback        *bufferedResponse // error response of an endpoint, relayed if no other endpoint succeeds
 	lastEventID     string            // id of the last event that was written to the caller, or that its request states
 	notResumable    bool              // an event without an id was written; another endpoint would send it again
@@ -448,7 +449,7 @@
 	start := time.Now()
 	t := x.pool.Submit(start, pool.Request{
 		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
-		Rank: int(x.route.Tier), Objective: x.objective, Deadline: x.responseDeadline(), Exclude: x.tried, Retried: x.sends > 0,
+		Rank: int(x.route.Tier), Objective: x.objective, Deadline: x.responseDeadline(), Exclude: x.tried, Retried: x.sends > 0, Begun: x.headerWritten,
 	})
 	defer func() { x.queueTime += time.Since(start) }()
 	select {
