core/fleet: send states within the data centre and sums between data centres

Cause: each instance sent its state to all others, at an interval that grew with the fleet (317 ms at 95 instances, 633 ms to other data centres), while silence was judged by a constant of 600 ms.

* core/fleet replaces gateway/members.go.
Above 12 instances, states go to the instances of the data centre only.
Its first two instances that are heard, the relays, send sums to one instance of each other data centre, which passes them on.
Each message states when the next one is due, and its sender is silent after five times that.
Instances that stopped and are no longer listed are forgotten.
* core/quota counts the use of another data centre from the counters of its relays, once, also when relays change or restart.
* core/pool sums the loads of a data centre.
Refusals for a quota log use and limit.

--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -27,12 +27,15 @@
 	pendingPrompt core.Tokens
 }
 
-// peerReport is the last report of another instance, and its rate of first events, which stands for its request rate.
+// peerReport is the last report of another instance or data centre, and its rate of first events, which stands for its request
+// rate.
 type peerReport struct {
-	at      time.Time
-	loads   map[core.EndpointID]Load
-	waiting []int
-	rate    average // first events per second, of which a report has at most maxReportEntries
+	at         time.Time     // when it was true
+	validity   time.Duration // the time for which it counts
+	sameCentre bool
+	loads      map[core.EndpointID]Load
+	waiting    []int
+	rate       average // first events per second, of which a report has at most maxReportEntries
 }
 
 // Load is the load that one instance puts on one endpoint.
@@ -54,6 +57,9 @@
 // between two reports.
 const maxReportEntries = 32
 
+// maxCentreSamples bounds the samples of a report of a data centre.
+const maxCentreSamples = 64
+
 // Report is the state of a pool that an instance sends to the others.
 type Report struct {
 	Loads   []Load
@@ -62,6 +68,67 @@
 	// was Broken or Unreachable.
 	Samples  []Sample
 	Failures []core.EndpointID
+	// Age is the time since which the report is true on average; only for reports of a data centre.
+	Age time.Duration
+	// Validity is the time for which the report counts, but at least reportValidity.
+	Validity time.Duration
+}
+
+// CentreReport returns the sum of the reports of this instance and of the others in its data centre, and the samples since the
+// last call.
+func (p *Pool) CentreReport(now time.Time) Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := Report{Samples: p.centreSamples, Waiting: p.waitingByTier()}
+	p.centreSamples = nil
+	loads := map[core.EndpointID]Load{}
+	for _, e := range p.orderedEndpoints {
+		if e.ownRunning > 0 {
+			loads[e.ID] = Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt}
+		}
+	}
+	reports := 1
+	for _, pr := range p.peers {
+		if !pr.sameCentre {
+			continue
+		}
+		reports++
+		r.Age += now.Sub(pr.at)
+		for tier, n := range pr.waiting {
+			if tier < len(r.Waiting) {
+				r.Waiting[tier] += n
+			}
+		}
+		for id, l := range pr.loads {
+			sum := loads[id]
+			loads[id] = Load{Endpoint: id, Running: sum.Running + l.Running, PendingPrompt: sum.PendingPrompt + l.PendingPrompt}
+		}
+	}
+	r.Age /= time.Duration(reports)
+	for _, e := range p.orderedEndpoints {
+		if l, ok := loads[e.ID]; ok {
+			r.Loads = append(r.Loads, l)
+		}
+	}
+	return r
+}
+
+// waitingByTier returns the number of queued requests that can still be on time, by tier.
+func (p *Pool) waitingByTier() []int {
+	waiting := make([]int, core.Tiers)
+	for _, t := range p.queue {
+		if !t.late {
+			waiting[min(max(t.req.Tier, 0), core.Tiers-1)]++
+		}
+	}
+	return waiting
+}
+
+// addCentreSample keeps a sample for the next report of the data centre.
+func (p *Pool) addCentreSample(s Sample) {
+	if len(p.centreSamples) < maxCentreSamples {
+		p.centreSamples = append(p.centreSamples, s)
+	}
 }
 
 // TakeReport returns this instance's load on each endpoint it uses, its queue, and the samples and failures since the
@@ -70,7 +137,7 @@
 func (p *Pool) TakeReport() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Samples: p.samples, Failures: p.failures, Waiting: make([]int, core.Tiers)}
+	r := Report{Samples: p.samples, Failures: p.failures, Waiting: p.waitingByTier()}
 	p.samples, p.failures = nil, nil
 	p.assumedPosition = p.rng.Float64()
 	for _, e := range p.orderedEndpoints {
@@ -79,32 +146,31 @@
 			r.Loads = append(r.Loads, Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt})
 		}
 	}
-	for _, t := range p.queue {
-		if !t.late {
-			r.Waiting[min(max(t.req.Tier, 0), core.Tiers-1)]++
-		}
-	}
 	return r
 }
 
-// ApplyReport stores the report of another instance. Its samples always count in the latency model. They count as
-// successes, and its failures count at all, only if that instance is in the same data centre, as an endpoint may be
-// unreachable from some data centres only.
+// ApplyReport stores the report of another instance, or of another data centre. Its samples always count in the latency model.
+// They count as successes, and its failures count at all, only if that instance is in the same data centre, as an endpoint may
+// be unreachable from some data centres only.
 func (p *Pool) ApplyReport(now time.Time, from core.InstanceID, sameCentre bool, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pr := peerReport{at: now, rate: p.peers[from].rate, loads: make(map[core.EndpointID]Load, len(r.Loads)), waiting: r.Waiting}
+	pr := peerReport{
+		at: now.Add(-r.Age), validity: max(r.Validity, reportValidity), sameCentre: sameCentre, rate: p.peers[from].rate,
+		loads: make(map[core.EndpointID]Load, len(r.Loads)), waiting: r.Waiting,
+	}
 	for _, l := range r.Loads {
 		pr.loads[l.Endpoint] = l
 	}
 	if previous, ok := p.peers[from]; ok {
-		pr.rate.add(float64(len(r.Samples))/max(now.Sub(previous.at), time.Millisecond).Seconds(), peerRateWeight)
+		pr.rate.add(float64(len(r.Samples))/max(pr.at.Sub(previous.at), time.Millisecond).Seconds(), peerRateWeight)
 	}
 	p.peers[from] = pr
 	for _, s := range r.Samples {
 		if e := p.endpoints[s.Endpoint]; e != nil {
 			p.model.addSample(e, s.PromptBacklog, s.Latency)
 			if sameCentre {
+				p.addCentreSample(s)
 				p.updateAndLog(now, e, func() { e.recordPeerOutcome(now, false, p.rng) })
 			}
 		}
@@ -125,7 +191,7 @@
 		e.peerLoad = peerLoad{}
 	}
 	for id, pr := range p.peers {
-		if now.Sub(pr.at) > reportValidity {
+		if now.Sub(pr.at) > pr.validity {
 			delete(p.peers, id)
 			continue
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -159,6 +159,7 @@
 	model              latencyModel
 	completionInterval intervalAverage
 	samples            []Sample          // since the last report
+	centreSamples      []Sample          // of the data centre, since its last report
 	failures           []core.EndpointID // since the last report
 	meanPrompt         average           // prompt tokens of a request
 	candidates         []candidate       // reused by decide
@@ -259,6 +260,7 @@
 	if len(p.samples) < maxReportEntries {
 		p.samples = append(p.samples, s)
 	}
+	p.addCentreSample(s)
 }
 
 // RespondedSince reports whether the endpoint of a grant has begun or ended a response to a request of this instance
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -40,8 +40,32 @@
 // Report is the usage that an instance sends to the others.
 type Report struct {
 	Start time.Time // start of the sender's process
-	Used  Usage     // by the sender since its start
+	Used  Usage     // by the sender, or its data centre as far as it knows, since its start
 	Total Usage     // by all instances in the window, as far as the sender knows
+	// Local means that the sender is in the data centre of this instance.
+	Local bool
+	// Validity is the time for which Total counts, but at least reportValidity.
+	Validity time.Duration
+	// Age is the time since which the report is true on average.
+	Age time.Duration
+}
+
+// maxUsageAge bounds the time by which usage is assumed to be older than the report that states it.
+const maxUsageAge = time.Second
+
+// usedAt returns the mean time at which the units were used that a report states beyond the previous one, which arrived at a
+// time. If all of it counted as used on arrival, it would leave the window too late.
+func (r *Report) usedAt(now, previous time.Time) time.Time {
+	age := r.Age
+	if !previous.IsZero() {
+		age += now.Sub(previous) / 2
+	}
+	return now.Add(-min(age, maxUsageAge))
+}
+
+// totalValid reports whether the total of a report that arrived at a time still counts.
+func (r *Report) totalValid(now, at time.Time) bool {
+	return now.Sub(at) <= max(r.Validity, reportValidity)
 }
 
 // Options configures a Ledger.
@@ -68,6 +92,7 @@
 	// refused earlier take this instance's part of the rate.
 	nextRetryAt time.Time
 	used        float64 // units taken by this instance since it started
+	centreUsed  float64 // units taken in this instance's data centre since then, as far as known
 }
 
 // peer is the last report of another instance.
@@ -76,7 +101,7 @@
 	at time.Time // of arrival
 }
 
-// reportValidity is how long the total of another instance's report is used.
+// reportValidity is how long the total of another instance's report is used at least.
 const reportValidity = time.Second
 
 // Ledger holds the accounts of all workspaces. It is not safe for concurrent use.
@@ -84,13 +109,15 @@
 	o               Options
 	accounts        map[core.WorkspaceID]*account
 	peers           map[core.InstanceID]*peer
-	share           float64 // see SetShare
-	priorUsageKnown bool    // Restore has been called, possibly with an empty record
+	centres         map[core.DataCentre]*centre // the other ones, whose usage is reported in sums
+	share           float64                     // see SetShare
+	instances       int                         // see SetInstances
+	priorUsageKnown bool                        // Restore has been called, possibly with an empty record
 }
 
 // New returns an empty ledger with a share of 1.
 func New(o Options) *Ledger {
-	return &Ledger{o: o, accounts: map[core.WorkspaceID]*account{}, peers: map[core.InstanceID]*peer{}, share: 1}
+	return &Ledger{o: o, accounts: map[core.WorkspaceID]*account{}, peers: map[core.InstanceID]*peer{}, centres: map[core.DataCentre]*centre{}, share: 1}
 }
 
 // Configure replaces the quotas. The usage of workspaces that remain is kept.
@@ -110,6 +137,19 @@
 	}
 }
 
+// maxExpired bounds the part of a quota by which expired reduces the usage: in a slice that has more usage, it may all lie at
+// the end.
+const maxExpired = 0.05
+
+// expired estimates how much of the usage in the oldest slice has left the window, from the time since the start of the newest
+// slice. limit is that of the window.
+func (l *Ledger) expired(now time.Time, a *account, limit float64) float64 {
+	sliceLength := int64(l.o.Window / sliceCount)
+	elapsed := float64(now.UnixNano()%sliceLength) / float64(sliceLength)
+	oldest := a.sinceShareLowered[(a.newestSlice+1)%(sliceCount+1)]
+	return elapsed * min(max(oldest, 0), maxExpired*limit)
+}
+
 // sliceNumber returns the number of the slice that contains t.
 func (l *Ledger) sliceNumber(t time.Time) int64 { return t.UnixNano() / int64(l.o.Window/sliceCount) }
 
@@ -126,6 +166,13 @@
 	}
 }
 
+// add counts units as used in slice n. It does nothing if the slice has left the window.
+func (a *account) add(n int64, units float64) {
+	if a.newestSlice-n <= sliceCount {
+		a.sinceShareLowered[n%(sliceCount+1)] += units
+	}
+}
+
 // recentUsage returns the usage in the last throttleSlices slices.
 func (a *account) recentUsage(n int64) float64 {
 	total := 0.0
@@ -164,6 +211,9 @@
 	l.share = share
 }
 
+// SetInstances sets the number of instances among which the rate of a quota is divided for the retries of refused requests.
+func (l *Ledger) SetInstances(n int) { l.instances = n }
+
 // Take reports whether a request of the given units is within the quota, and counts it if so. Otherwise it returns how
 // long to wait until a retry is expected to succeed; requests that were refused earlier are to retry first. reserve is
 // the part of the quota, from 0 to 1, that is left for more urgent requests for a window after a request has been
@@ -181,7 +231,7 @@
 	if elapsedShare := now.Sub(knownSince).Seconds() / l.o.Window.Seconds(); elapsedShare < 1 && !l.priorUsageKnown {
 		unknownUsage = limit * (1 - elapsedShare*elapsedShare)
 	}
-	usedBefore, usedSince := sum(&a.beforeShareLowered), sum(&a.sinceShareLowered)
+	usedBefore, usedSince := sum(&a.beforeShareLowered), sum(&a.sinceShareLowered)-l.expired(now, a, limit)
 	remaining := l.share*(limit-max(usedBefore, unknownUsage)) - usedSince
 	if reported > usedBefore+usedSince { // another instance knows of more usage
 		remaining = min(remaining, l.share*(limit-reported))
@@ -201,17 +251,31 @@
 			return l.scheduleRetry(now, a, units, l.o.Window/sliceCount), false
 		}
 	}
-	a.sinceShareLowered[n%(sliceCount+1)] += units
+	a.add(n, units)
 	a.used += units
+	a.centreUsed += units
 	return 0, true
 }
 
+// Usage returns the units that all instances have used in the window, as far as this one knows, and those that the quota allows
+// these instances; both are 0 if the workspace has no quota.
+func (l *Ledger) Usage(now time.Time, id core.WorkspaceID) (used, allowed float64) {
+	a := l.accounts[id]
+	if a == nil || a.quota.Rate <= 0 {
+		return 0, 0
+	}
+	a.advance(l.sliceNumber(now))
+	reported, _ := l.reportedUsage(now, id)
+	limit := l.limit(a.quota)
+	return max(sum(&a.beforeShareLowered)+sum(&a.sinceShareLowered)-l.expired(now, a, limit), reported), l.share * limit
+}
+
 // scheduleRetry returns the time after which a refused request may retry: once enough usage has left the window, but not
 // before the requests that were refused here earlier. Their retries are spaced so that the requests use this instance's
 // part of the rate; otherwise all would retry at once, and most would be refused again. The rate is divided among all
-// instances that have ever sent a report, including stopped ones. No retry is delayed by more than a window for this.
+// instances that may be running or have ever sent a report. No retry is delayed by more than a window for this.
 func (l *Ledger) scheduleRetry(now time.Time, a *account, units float64, wait time.Duration) time.Duration {
-	rate := l.share * a.quota.Rate / float64(len(l.peers)+1)
+	rate := l.share * a.quota.Rate / float64(max(l.instances, len(l.peers)+1))
 	if a.nextRetryAt.Before(now) {
 		a.nextRetryAt = now
 	}
@@ -226,8 +290,8 @@
 // usage is known: the start of the oldest process among this one and those with a valid report.
 func (l *Ledger) reportedUsage(now time.Time, id core.WorkspaceID) (float64, time.Time) {
 	highest, knownSince := 0.0, l.o.Start
-	for _, p := range l.peers {
-		if now.Sub(p.at) > reportValidity {
+	for p := range l.reports() {
+		if !p.totalValid(now, p.at) {
 			continue
 		}
 		highest = max(highest, p.Total[id])
@@ -258,9 +322,8 @@
 	}
 	a.advance(l.sliceNumber(now))
 	a.used -= units
-	if n := l.sliceNumber(taken); a.newestSlice-n <= sliceCount {
-		a.sinceShareLowered[n%(sliceCount+1)] -= units
-	}
+	a.centreUsed -= units
+	a.add(l.sliceNumber(taken), -units)
 }
 
 // MoveUsage counts units that were taken at one time as used at a later time, when the request is sent.
@@ -271,11 +334,8 @@
 	}
 	to := l.sliceNumber(sent)
 	a.advance(to)
-	from := l.sliceNumber(taken)
-	if a.newestSlice-from <= sliceCount {
-		a.sinceShareLowered[from%(sliceCount+1)] -= units
-	}
-	a.sinceShareLowered[to%(sliceCount+1)] += units
+	a.add(l.sliceNumber(taken), -units)
+	a.add(to, units)
 }
 
 // Report returns the report of this instance for the others.
@@ -309,11 +369,18 @@
 	case r.Start.Equal(p.Start):
 		counted = p.Used // the same process: counted with its earlier reports
 	}
-	n := l.sliceNumber(now)
+	var previous time.Time
+	if p != nil {
+		previous = p.at
+	}
+	n, used := l.sliceNumber(now), l.sliceNumber(r.usedAt(now, previous))
 	for id, v := range r.Used {
 		if a := l.accounts[id]; a != nil {
 			a.advance(n)
-			a.sinceShareLowered[n%(sliceCount+1)] += v - counted[id]
+			a.add(used, v-counted[id])
+			if r.Local {
+				a.centreUsed += v - counted[id]
+			}
 		}
 	}
 	l.peers[from] = &peer{Report: r, at: now}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -56,6 +56,13 @@
 	return b.ledger.Take(time.Now(), id, units, min(float64(max(rank, 0))*reservePerRank, maxReserve))
 }
 
+// QuotaUsage returns the units that a workspace has used in the window, and those that its quota allows.
+func (b *budgets) QuotaUsage(id core.WorkspaceID) (used, allowed float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Usage(time.Now(), id)
+}
+
 // ReturnQuota gives back the units of a request that did not run.
 func (b *budgets) ReturnQuota(taken time.Time, id core.WorkspaceID, units float64) {
 	b.mu.Lock()
@@ -100,5 +107,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.instances = max(total, 1)
+	b.ledger.SetInstances(total)
 	b.ledger.SetShare(float64(reachable) / float64(max(total, 1)))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,13 +15,12 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
-	"github.com/samber/lo"
 
 	"monsoondale/common/peerconn"
 	"monsoondale/core"
+	"monsoondale/core/fleet"
 	"monsoondale/core/mirror"
 	"monsoondale/core/pool"
-	"monsoondale/core/quota"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
 	"monsoondale/io/mesh"
@@ -33,10 +32,6 @@
 const (
 	// tickInterval is how often waiting requests are scheduled again and the process is checked for a stall.
 	tickInterval = 5 * time.Millisecond
-	// digestInterval is the time between digests in fleets of up to maxFullRateInstances instances. In larger fleets it
-	// grows in proportion, so that the digests that an instance receives per second do not increase.
-	digestInterval       = 40 * time.Millisecond
-	maxFullRateInstances = 12
 	// fetchDelay is how long, beyond twice batchPause, an instance that watches the store waits for a newer revision from
 	// there before it fetches another instance's copy. Other instances fetch the copy at once.
 	fetchDelay = 120 * time.Millisecond
@@ -101,14 +96,16 @@
 
 	// Only the control goroutine uses the fields below.
 	mirrors           [collectionCount]*mirror.Mirror
-	members           members
+	fleet             *fleet.Fleet
+	fleetUpdated      time.Time               // when updateFleet last ran
+	addresses         map[string]*net.UDPAddr // of instances, by IP:PORT
+	forward           []wire.Summary          // to be passed on within the data centre
 	pools             map[route.Service]*pool.Pool
 	table             *route.Table
 	loggedUndecodable map[string]core.Revision   // revisions of the entries of endpoints whose decoding error was logged
 	behindSince       [collectionCount]time.Time // since when another instance has a newer revision; zero if none has
 	fetching          [collectionCount]bool      // a copy is being fetched from another instance
 	digestNumber      int
-	digestSentAt      time.Time
 	lastTick          time.Time
 	lastRecordAttempt time.Time
 	lastWallTime      time.Time
@@ -124,7 +121,8 @@
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
 		pools:             map[route.Service]*pool.Pool{},
 		loggedUndecodable: map[string]core.Revision{},
-		members:           members{self: s.Name, byName: map[core.InstanceID]*member{}},
+		addresses:         map[string]*net.UDPAddr{},
+		fleet:             fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
 	g.budgets = newBudgets(g.start, s)
 	for c := range collectionCount {
@@ -312,10 +310,7 @@
 		if gap := max(now.Sub(g.lastTick), now.Round(0).Sub(g.lastWallTime)); gap > stallThreshold {
 			g.log.Info("process stood still", "gap", gap.String())
 			// Digests from before the stall are out of date, even if the monotonic clock did not advance.
-			for _, m := range g.members.byName {
-				m.lastDigest = time.Time{}
-				m.trackedSince = now
-			}
+			g.fleet.Resume(now)
 		}
 	}
 	g.lastTick, g.lastWallTime = now, now.Round(0)
@@ -327,89 +322,16 @@
 	if g.mirrors[Endpoints].Expire(now) {
 		g.activate(now, Endpoints, "expiry")
 	}
-	reachable, total := g.members.count(now)
-	g.budgets.setInstanceCounts(reachable, total)
-	g.watcherIndex.Store(int64(g.members.watcherIndex(now)))
-	for _, m := range g.members.byName {
-		if unreachable := now.Sub(m.lastDigest) > digestValidity; unreachable != m.loggedUnreachable && (unreachable || !m.lastDigest.IsZero()) {
-			m.loggedUnreachable = unreachable
-			g.log.Info("instance heard", "instance", m.Name, "silent", unreachable, "leaving", m.leaving, "heard", reachable, "all", total)
-		}
-	}
-	interval := digestInterval * time.Duration(max(len(g.members.byName)+1, maxFullRateInstances)) / maxFullRateInstances
-	if now.Sub(g.digestSentAt) >= interval {
-		g.digestSentAt = now
-		g.sendDigest(now)
-	}
-}
-
-// sendDigest sends a digest to the other instances.
-func (g *Gateway) sendDigest(now time.Time) {
-	g.digestNumber++
-	d := wire.Digest{
-		From: string(g.o.Settings.Name), Address: g.o.Settings.MeshAddress, Start: int(g.start.UnixMilli()), Number: g.digestNumber,
-		Routes: int(g.mirrors[Configurations].LastChange()), Entries: int(g.mirrors[Endpoints].LastChange()), Leaving: g.leaving.Load(),
-		Members: int(g.mirrors[Instances].LastChange()), Blind: g.unreadableCollections.Load() > 0,
-	}
-	for s, p := range g.pools {
-		d.Pools = append(d.Pools, encodeReport(s, p.TakeReport()))
-	}
-	g.budgets.mu.Lock()
-	r := g.budgets.ledger.Report(now)
-	g.budgets.mu.Unlock()
-	name := func(_ float64, id core.WorkspaceID) string { return string(id) }
-	d.Used = lo.MapKeys(r.Used, name)
-	// Total is sent only while a reachable instance has been running for less than the window.
-	if g.members.anyStartedWithin(now, g.o.Settings.QuotaWindow) {
-		d.Total = lo.MapKeys(r.Total, name)
-	}
-	b, err := json.Marshal(d)
-	if err != nil {
-		g.log.Error(err, "cannot encode digest")
-		return
-	}
-	for _, a := range g.members.digestAddresses(g.o.Settings.Centre, g.digestNumber) {
-		if err := g.mesh.SendDigest(b, a); err != nil {
-			metrics.GetOrRegisterCounter("digest.unsent", g.metrics).Inc(1)
-		}
-	}
-}
-
-// handleDigest applies a digest of another instance.
-func (g *Gateway) handleDigest(ctx context.Context, now time.Time, d *wire.Digest) {
-	if core.InstanceID(d.From) == g.o.Settings.Name {
-		return
-	}
-	m, fresh := g.members.recordDigest(now, d)
-	if !fresh {
-		return
-	}
-	for _, w := range d.Pools {
-		p := g.pools[route.Service(w.Service)]
-		if p == nil {
-			continue
-		}
-		r, err := decodeReport(&w)
-		if err != nil {
-			g.log.Info("pool report skipped", "instance", m.Name, "service", w.Service, "cause", err.Error())
-			continue
-		}
-		p.ApplyReport(now, m.Name, m.Centre == g.o.Settings.Centre, r)
-	}
-	id := func(_ float64, name string) core.WorkspaceID { return core.WorkspaceID(name) }
-	g.budgets.mu.Lock()
-	g.budgets.ledger.ApplyReport(now, m.Name, quota.Report{
-		Start: time.UnixMilli(m.processStart), Used: lo.MapKeys(d.Used, id), Total: lo.MapKeys(d.Total, id),
-	})
-	g.budgets.mu.Unlock()
-	for c := range collectionCount {
-		g.fetchIfNewer(ctx, now, c, m, m.revisions[c])
+	if now.Sub(g.fleetUpdated) >= fleetInterval {
+		g.fleetUpdated = now
+		g.updateFleet(now)
 	}
+	g.sendDigests(now)
 }
 
 // fetchIfNewer fetches another instance's copy of a collection if its revision rev is newer than the mirror, or if the
 // mirror has no complete list yet. An instance that watches the store first waits for the change from there.
-func (g *Gateway) fetchIfNewer(ctx context.Context, now time.Time, c Collection, m *member, rev core.Revision) {
+func (g *Gateway) fetchIfNewer(ctx context.Context, now time.Time, c Collection, m fleet.Member, rev core.Revision) {
 	// Without a complete list, a copy of any revision but 0 is fetched.
 	if rev <= g.mirrors[c].LastChange() && (g.mirrors[c].Synced() || rev == 0) {
 		return
@@ -471,6 +393,7 @@
 	if changed {
 		g.behindSince[u.collection] = time.Time{}
 		g.activate(now, u.collection, u.source)
+		g.fleet.Hasten()
 	}
 }
 
@@ -560,26 +483,16 @@
 
 // activateMembers applies the list of instances.
 func (g *Gateway) activateMembers(now time.Time, items []mirror.Item) {
-	for _, m := range g.members.byName {
-		m.inStore = false
-	}
+	list := make([]fleet.Member, 0, len(items))
 	for _, it := range items {
 		entry, err := g.o.Store.InstanceEntry(it)
 		if err != nil {
 			g.log.Info("entry skipped", "name", it.Name, "revision", it.Revision, "cause", err.Error())
 			continue
 		}
-		if entry.Name == g.o.Settings.Name {
-			continue
-		}
-		m, err := g.members.getOrAdd(now, entry)
-		if err != nil {
-			g.log.Info("entry skipped", "name", it.Name, "cause", err.Error())
-			continue
-		}
-		m.inStore = true
+		list = append(list, fleet.Member(entry))
 	}
-	g.members.listKnown = true
+	g.fleet.List(now, list)
 }
 
 // register writes the entry of this instance to the store. It retries until it succeeds, and logs no errors.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -20,17 +20,15 @@
 	recordInterval = time.Second
 )
 
-// recordUsage writes the usage of workspaces to the store if a record is due and this instance is the first by name of
-// the reachable ones. Two instances that cannot reach each other may both write; either record contains what both used
+// recordUsage writes the usage of workspaces to the store if a record is due and this instance is the first of those that
+// watch the store. Two instances that cannot reach each other may both write; either record contains what both used
 // before they lost contact.
 func (g *Gateway) recordUsage(ctx context.Context, now time.Time) {
 	if now.Sub(g.lastRecordAttempt) < recordInterval || g.recording.Load() || g.leaving.Load() || g.table == nil || !g.table.RequiresKey() {
 		return
 	}
-	for name, m := range g.members.byName {
-		if name < g.o.Settings.Name && !m.lastDigest.IsZero() && now.Sub(m.lastDigest) <= digestValidity && !m.leaving {
-			return
-		}
+	if g.watcherIndex.Load() != 0 {
+		return
 	}
 	g.lastRecordAttempt = now
 	g.budgets.mu.Lock()
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"monsoondale/core"
+	"monsoondale/core/fleet"
 	"monsoondale/core/mirror"
 )
 
@@ -18,7 +19,7 @@
 	// watchPeriod is the time after which a watch is renewed, because it may have stalled. The watching instances renew
 	// theirs at staggered times, one in each third of the period, and that instance passes changes on to all others: a
 	// change must be in force within two seconds.
-	watchPeriod = storeWatchers * 400 * time.Millisecond
+	watchPeriod = fleet.StoreWatchers * 400 * time.Millisecond
 	// instanceWatchDuration is the duration of a watch of the list of instances, which also learn of each other from
 	// digests.
 	instanceWatchDuration = 10 * time.Second
@@ -146,7 +147,7 @@
 	if w.collection == Instances {
 		return instanceWatchDuration
 	}
-	offset := watchPeriod / storeWatchers * time.Duration(max(w.watcherIndex.Load(), 0))
+	offset := watchPeriod / fleet.StoreWatchers * time.Duration(max(w.watcherIndex.Load(), 0))
 	d := offset - time.Duration(now.UnixNano())%watchPeriod
 	for d < watchPeriod/2 {
 		d += watchPeriod
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"monsoondale/core/fleet"
 )
 
 // Guards against renewing all watches at the same time: if all of them stall, a leaving endpoint receives requests for
@@ -14,7 +16,7 @@
 	g := NewWithT(t)
 	begin := time.Unix(1_700_000_000, 0)
 	var ends []time.Duration
-	for index := range storeWatchers { // instances with different start times
+	for index := range fleet.StoreWatchers { // instances with different start times
 		n := new(atomic.Int64)
 		n.Store(int64(index))
 		w := &storeWatcher{collection: Endpoints, watcherIndex: n}
@@ -26,8 +28,8 @@
 	for at := 3 * time.Second; at < 18*time.Second; at += 10 * time.Millisecond {
 		found := false
 		for _, e := range ends {
-			found = found || e >= at && e < at+watchPeriod/storeWatchers
+			found = found || e >= at && e < at+watchPeriod/fleet.StoreWatchers
 		}
-		g.Expect(found).To(BeTrue(), "no watch is renewed within %v after %v", watchPeriod/storeWatchers, at)
+		g.Expect(found).To(BeTrue(), "no watch is renewed within %v after %v", watchPeriod/fleet.StoreWatchers, at)
 	}
 }
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -90,6 +90,8 @@
 	// TakeQuota takes units from the quota of a workspace. If too few are left, it returns the time after which enough will
 	// be available. Requests with a larger rank number are less urgent and leave a part of the quota to more urgent ones.
 	TakeQuota(id core.WorkspaceID, rank int, units float64) (time.Duration, bool)
+	// QuotaUsage returns the units that a workspace has used in the window of its quota, and those that it may use.
+	QuotaUsage(id core.WorkspaceID) (used, allowed float64)
 	// ReturnQuota returns the units that TakeQuota took at the time taken, for a request that did not run.
 	ReturnQuota(taken time.Time, id core.WorkspaceID, units float64)
 	// MoveUsage counts units that were taken at the time taken as used now, when the request is sent.
@@ -175,10 +177,12 @@
 	service    route.Service
 	pool       *pool.Pool
 	body       []byte
-	reserved   int64     // bytes of buffers
-	units      float64   // that the request costs in the workspace's quota; 0 if there is no workspace
-	takenUnits float64   // units taken from the quota
-	takenAt    time.Time // when they were taken
+	reserved   int64   // bytes of buffers
+	units      float64 // that the request costs in the workspace's quota; 0 if there is no workspace
+	takenUnits float64 // units taken from the quota
+	// quotaUsed and quotaAllowed are the usage and the limit that led to a refusal.
+	quotaUsed, quotaAllowed float64
+	takenAt                 time.Time // when they were taken
 
 	arrived, deadline time.Time
 	objective         time.Time
@@ -339,6 +343,7 @@
 		x.units = x.workspace.Quota.Cost(x.info.Prompt+x.info.MaxOutput, x.info.TokensStated)
 		// The rank is the tier of the route, even if the workspace has a tier.
 		if wait, ok := x.handler.o.Budgets.TakeQuota(x.workspace.ID, int(x.route.Tier), x.units); !ok {
+			x.quotaUsed, x.quotaAllowed = x.handler.o.Budgets.QuotaUsage(x.workspace.ID)
 			return x.refuse(http.StatusTooManyRequests, "quota", wait)
 		}
 		x.takenUnits, x.takenAt = x.units, time.Now()
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -63,6 +64,9 @@
 	if x.units > 0 {
 		values = append(values, "units", x.units)
 	}
+	if x.quotaAllowed > 0 {
+		values = append(values, "used", math.Round(x.quotaUsed), "quota", math.Round(x.quotaAllowed))
+	}
 	if x.poolState.Slots > 0 {
 		values = append(values, "wait", milliseconds(x.queueTime), "waiting", x.poolState.Waiting, "free", x.poolState.Free, "slots", x.poolState.Slots,
 			"peers", x.poolState.Peers, "age", milliseconds(x.poolState.ReportAge))
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -26,7 +26,11 @@
 // Members are the revisions of its configuration, its list of endpoints and its
 // list of instances. Blind tells that the store does not answer it. Used is the
 // units that the sender has used for each workspace since its start; Total is
-// those of all instances in the last window, as far as it knows.
+// those of all instances in the last window, as far as it knows. Centre is the
+// sender's data centre; Every is the number of milliseconds until its next digest.
+// Far are the summaries of other data centres that the sender has received since
+// the last digest. A digest with a summary of the sender's own data centre is for
+// instances of other data centres.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -34,9 +38,18 @@
 	// Blind corresponds to the JSON schema field "blind".
 	Blind bool `json:"blind,omitempty,omitzero"`
 
+	// Centre corresponds to the JSON schema field "centre".
+	Centre string `json:"centre,omitempty,omitzero"`
+
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// Every corresponds to the JSON schema field "every".
+	Every int `json:"every,omitempty,omitzero"`
+
+	// Far corresponds to the JSON schema field "far".
+	Far []Summary `json:"far,omitempty,omitzero"`
+
 	// From corresponds to the JSON schema field "from".
 	From string `json:"from"`
 
@@ -129,3 +142,69 @@
 }
 
 type RecordSlices map[string][]float64
+
+// Summary is the state of a data centre, as the instance From sums it up. Heard
+// and Running count its instances that are heard and that may be running; Silent
+// are those that are listed but not heard. Watchers are the first that can read
+// the store. Young tells that one has started recently. Pools, Used and Total are
+// as in a digest, for the whole data centre; Age is the mean age of the loads in
+// milliseconds.
+type Summary struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Centre corresponds to the JSON schema field "centre".
+	Centre string `json:"centre"`
+
+	// Entries corresponds to the JSON schema field "entries".
+	Entries int `json:"entries,omitempty,omitzero"`
+
+	// Every corresponds to the JSON schema field "every".
+	Every int `json:"every,omitempty,omitzero"`
+
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from"`
+
+	// Heard corresponds to the JSON schema field "heard".
+	Heard int `json:"heard,omitempty,omitzero"`
+
+	// Members corresponds to the JSON schema field "members".
+	Members int `json:"members,omitempty,omitzero"`
+
+	// Number corresponds to the JSON schema field "number".
+	Number int `json:"number"`
+
+	// Pools corresponds to the JSON schema field "pools".
+	Pools []Pool `json:"pools,omitempty,omitzero"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes int `json:"routes,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Silent corresponds to the JSON schema field "silent".
+	Silent []string `json:"silent,omitempty,omitzero"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start int `json:"start"`
+
+	// Total corresponds to the JSON schema field "total".
+	Total SummaryTotal `json:"total,omitempty,omitzero"`
+
+	// Used corresponds to the JSON schema field "used".
+	Used SummaryUsed `json:"used,omitempty,omitzero"`
+
+	// Watchers corresponds to the JSON schema field "watchers".
+	Watchers []string `json:"watchers,omitempty,omitzero"`
+
+	// Young corresponds to the JSON schema field "young".
+	Young bool `json:"young,omitempty,omitzero"`
+}
+
+type SummaryTotal map[string]float64
+
+type SummaryUsed map[string]float64
