--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// recordNotice reads the header of a response and records what the endpoint states about itself. Of a response to another request, only that it leaves counts:
-// a late copy of a rejection would extend the wait.
+// recordNotice reads the header of a response and records what the endpoint states about itself. Of a response to another
+// request, only that it leaves counts: a late copy of a rejection would extend the wait.
 func (a *attempt) recordNotice(r *http.Response, matched bool) {
 	info := a.x.handler.o.Headers.ParseResponse(r)
 	if matched {
