gateway: do not cut off requests that are accepted at the end of a planned stop

Cause: after the last request had ended, the number of running requests was read once more. One that was accepted in between made Stop close all connections without an answer. Now the servers wait for it until the deadline.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -28,22 +28,30 @@
 	g.proxy.RefuseNew()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	for g.proxy.ActiveRequests() > 0 && ctx.Err() == nil {
-		sleep(ctx, 10*time.Millisecond)
+	cut := 0
+	if !waitUntilZero(ctx, g.proxy.ActiveRequests) {
+		cut = g.proxy.ActiveRequests()
 	}
-	unfinished := g.proxy.ActiveRequests()
 	for _, s := range g.servers {
-		if unfinished > 0 {
-			s.Close() // the deadline has passed
-			continue
-		}
+		// Waits for requests that have just been accepted, which are refused, until the deadline.
 		if err := s.Shutdown(ctx); err != nil {
 			s.Close()
 		}
 	}
 	g.cancel()
 	g.mesh.Close()
-	g.log.Info("stopped", "cut", unfinished, "took", time.Since(started).String())
+	g.log.Info("stopped", "cut", cut, "took", time.Since(started).String())
+}
+
+// waitUntilZero waits until count returns 0, and reports whether it has before ctx ends.
+func waitUntilZero(ctx context.Context, count func() int) bool {
+	for count() > 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, 10*time.Millisecond)
+	}
+	return true
 }
 
 // Reload applies the retry settings. All other settings stay as they were at the start of the process, and a changed address
