io/proxy: cut a silent stream only if another endpoint takes it over at once

A stream without an event for 1.2 s was cancelled at its endpoint; then no endpoint had a free slot, and the stream was broken off ("overload after a failure"). Streams pause that long in bursts, when long prompts are read beside them.

The timers of silent streams and responses now acquire a slot of another endpoint and a retry first, and try again every 100 ms until one is there. A request whose response has begun is no longer refused for overload.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -181,7 +181,7 @@
 	if end, ok := p.waitEnd(now, exclude); ok && !t.canWaitUntil(end) {
 		return Refusal{RetryAfter: p.spread(end.Sub(now)), Reason: "endpoints wait"}
 	}
-	if t.late { // waits only for a part of the time from arrival to deadline
+	if t.late && !t.req.Begun { // waits only for a part of the time from arrival to deadline
 		if now.Sub(t.req.Arrived) > time.Duration(lateWaitShare*float64(t.req.Deadline.Sub(t.req.Arrived))) {
 			return Refusal{RetryAfter: p.retryAfter(), Reason: "overload"}
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -217,6 +217,12 @@
 	return t
 }
 
+// Acquire grants an endpoint if one has a free slot now, without queueing the request. It returns nil if there is none.
+func (p *Pool) Acquire(now time.Time, req Request) *Grant {
+	t := p.Submit(now, req)
+	return p.Withdraw(now, t)
+}
+
 // Withdraw removes a request from the queue. If a grant has already been made, it returns that grant, which the caller
 // must pass to Release.
 func (p *Pool) Withdraw(now time.Time, t *Ticket) *Grant {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -255,3 +255,24 @@
 	p.Release(now, second, pool.Served)
 	grant(g, waiting)
 }
+
+// Guards against a stream that is broken off because no slot is free, although its caller is receiving it already and the
+// request could wait, and against a search for a free slot that leaves a request in the queue.
+func TestBegunRequestWaitsForSlot(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(endpoints(1, 1))
+	first := grant(g, p.Submit(begin, request(0, begin)))
+	now := begin.Add(5 * time.Second)
+	begun := request(0, begin)
+	begun.Retried, begun.Begun = true, true
+	g.Expect(p.Acquire(now, begun)).To(BeNil())
+	ticket := p.Submit(now, begun)
+	p.Tick(now.Add(2 * time.Second))
+	g.Expect(decision(ticket)).To(BeNil(), "neither granted nor refused")
+	p.Release(now.Add(3*time.Second), first, pool.Served)
+	g.Expect(decision(ticket)).To(BeAssignableToTypeOf(&pool.Grant{}))
+	g.Expect(p.Acquire(now.Add(3*time.Second), begun)).To(BeNil())
+	p.Tick(now.Add(6 * time.Second))
+	free, _ := p.Free(now.Add(6 * time.Second))
+	g.Expect(free).To(BeZero(), "only the granted slot is taken")
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +34,8 @@
 	// streamSilenceTimeout is the time without a complete event, after the first bytes of a resumable stream, after which
 	// another endpoint continues it. Callers abandon a silent stream after two seconds or more.
 	streamSilenceTimeout = 1200 * time.Millisecond
+	// takeoverInterval is the time between two tries to find another endpoint for a request whose endpoint is silent.
+	takeoverInterval = 100 * time.Millisecond
 	// minTimeForRetry is the time left until the deadline below which a request is not retried.
 	minTimeForRetry = 20 * time.Millisecond
 )
@@ -62,50 +64,114 @@
 	info    ResponseInfo // of resp
 	started time.Time
 	cancel  context.CancelCauseFunc
-	// responseTimer cancels the attempt if no response begins; nil if the request may not be retried.
-	responseTimer *time.Timer
-	// retryTaken is set once a timer has taken a retry from the retry budget for this attempt.
-	retryTaken atomic.Bool
+	// responseTimer runs until the response begins, unless the request may not be retried.
+	responseTimer takeoverTimer
+
+	mu       sync.Mutex
+	ended    bool
+	takeover *pool.Grant // of the endpoint that serves the request next
 }
 
 // tryEndpoint sends the request to an endpoint and relays the response. It reports whether the request is to be retried
 // at another endpoint.
-func (x *exchange) tryEndpoint(ctx context.Context, g *pool.Grant) (result, bool) {
+func (x *exchange) tryEndpoint(ctx context.Context, g *pool.Grant) (r result, retry bool) {
 	x.endpointID = g.Endpoint.ID
 	x.tried = append(x.tried, g.Endpoint.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{x: x, ctx: ctx, grant: g, outcome: pool.Cancelled, started: time.Now(), cancel: cancel}
-	defer func() { x.pool.Release(time.Now(), g, a.outcome) }()
+	defer func() { a.end(retry) }()
 	if timeout := x.responseTimeout(g); timeout > 0 {
-		a.responseTimer = time.AfterFunc(timeout, func() {
+		req := x.poolRequest()
+		req.Retried = true
+		a.responseTimer.start(timeout, func() bool {
 			// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so
-			// far. The timer is not set again: from now on only the deadline limits the wait for this response.
-			if !x.pool.RespondedSince(g) {
-				a.cancelForRetry(errNoResponse)
-			}
+			// far. From then on only the deadline limits the wait for this response.
+			return x.pool.RespondedSince(g) || a.takeOver(req)
 		})
-		defer a.responseTimer.Stop()
+		defer a.responseTimer.stop()
 	}
 	return a.send()
 }
 
-// cancelForRetry cancels the attempt so that another endpoint serves the request, if a retry is left in the budget and there is
-// time for it.
-func (a *attempt) cancelForRetry(cause error) {
-	x := a.x
-	if time.Until(x.deadline) < minTimeForRetry || !x.handler.o.Budgets.TakeRetry(x.service) {
+// takeOver cancels the attempt because its endpoint is silent, if another endpoint has a free slot for the request and a retry is
+// left in the budget. Without another endpoint, cancelling would only waste the work done so far. It returns false if it is to be
+// tried again.
+func (a *attempt) takeOver(req pool.Request) bool {
+	x, now := a.x, time.Now()
+	if req.Deadline.Sub(now) < minTimeForRetry {
+		return true
+	}
+	g := x.pool.Acquire(now, req)
+	if g == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended || slices.Contains(req.Exclude, g.Endpoint.ID) || !x.handler.o.Budgets.TakeRetry(x.service) {
+		x.pool.Release(now, g, pool.Cancelled)
+		return a.ended
+	}
+	a.takeover = g
+	a.cancel(errNoResponse)
+	return true
+}
+
+// end releases the slot of the attempt. The slot that takeOver has acquired is kept for the retry.
+func (a *attempt) end(retry bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	x, now := a.x, time.Now()
+	x.pool.Release(now, a.grant, a.outcome)
+	switch {
+	case a.takeover == nil:
+	case retry:
+		x.takeover = a.takeover
+	default:
+		x.pool.Release(now, a.takeover, pool.Cancelled)
+	}
+}
+
+// takenOver reports whether another endpoint and a retry have been acquired for the request.
+func (a *attempt) takenOver() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.takeover != nil
+}
+
+// takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true. The zero value is stopped.
+type takeoverTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (t *takeoverTimer) start(d time.Duration, f func() bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
 		return
 	}
-	a.retryTaken.Store(true)
-	a.cancel(cause)
+	t.timer = time.AfterFunc(d, func() {
+		if !f() {
+			t.start(takeoverInterval, f)
+		}
+	})
+}
+
+func (t *takeoverTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 }
 
 // recordResponseStart stops the response timer and records the time to the first event.
 func (a *attempt) recordResponseStart() {
-	if a.responseTimer != nil {
-		a.responseTimer.Stop()
-	}
+	a.responseTimer.stop()
 	a.x.pool.RecordFirstEvent(time.Now(), a.grant)
 }
 
@@ -282,7 +348,7 @@
 		return x.respondError(http.StatusBadGateway, "endpoint failed, attempts exhausted"), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.respondError(http.StatusGatewayTimeout, "deadline"), false
-	case !a.retryTaken.Load() && !x.handler.o.Budgets.TakeRetry(x.service):
+	case !a.takenOver() && !x.handler.o.Budgets.TakeRetry(x.service):
 		return x.respondError(http.StatusBadGateway, "endpoint failed, repeats exhausted"), false
 	}
 	return result{reason: "endpoint failed"}, true
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -190,6 +191,7 @@
 	sends           int               // number of times the request was sent to an endpoint
 	possibleRuns    int               // number of endpoints that may have run it
 	tried           []core.EndpointID // endpoints to avoid in further attempts
+	takeover        *pool.Grant       // acquired for the next attempt; may be nil
 	headerWritten   bool              // the header of the response has been written
 	begunStatus     int               // status of a stream that has begun
 	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
@@ -447,15 +449,21 @@
 
 // acquireEndpoint waits until the pool grants an endpoint. The grant is nil if the request has ended.
 func (x *exchange) acquireEndpoint(ctx context.Context) (*pool.Grant, result) {
-	if x.r.Context().Err() != nil {
+	g := x.takeover
+	x.takeover = nil
+	switch left := x.r.Context().Err() != nil; {
+	case g != nil && !left:
+		x.recordGrant(g)
+		return g, result{}
+	case g != nil:
+		x.pool.Release(time.Now(), g, pool.Cancelled)
+		return nil, x.endForCallerLeft()
+	case left:
 		return nil, x.endForCallerLeft()
 	}
 	x.stage = stageQueue
 	start := time.Now()
-	t := x.pool.Submit(start, pool.Request{
-		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
-		Rank: int(x.route.Tier), Objective: x.objective, Deadline: x.responseDeadline(), Exclude: x.tried, Retried: x.sends > 0, Begun: x.headerWritten,
-	})
+	t := x.pool.Submit(start, x.poolRequest())
 	defer func() { x.queueTime += time.Since(start) }()
 	select {
 	case d := <-t.Decided:
@@ -465,7 +473,7 @@
 				x.handler.o.Budgets.MoveUsage(x.takenAt, x.workspace.ID, x.takenUnits)
 				x.takenAt = now
 			}
-			x.poolState, x.expectedLatency, x.endpointLoad = d.State, d.ExpectedLatency, d.RunningAtEndpoint
+			x.recordGrant(d)
 			return d, result{}
 		case pool.Refusal:
 			x.poolState = d.State
@@ -484,6 +492,20 @@
 	return nil, x.failOrRefuse("deadline", shortRetryAfter)
 }
 
+// poolRequest returns the request as the pool sees it.
+func (x *exchange) poolRequest() pool.Request {
+	return pool.Request{
+		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
+		Rank: int(x.route.Tier), Objective: x.objective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
+		Retried: x.sends > 0, Begun: x.headerWritten,
+	}
+}
+
+// recordGrant keeps what a grant was based on for the log.
+func (x *exchange) recordGrant(g *pool.Grant) {
+	x.poolState, x.expectedLatency, x.endpointLoad = g.State, g.ExpectedLatency, g.RunningAtEndpoint
+}
+
 // failOrRefuse ends a request that is not sent to a further endpoint: with an error if an endpoint may have run it, else
 // with a refusal.
 func (x *exchange) failOrRefuse(reason string, retryAfter time.Duration) result {
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -102,16 +102,18 @@
 	return result{status: resp.StatusCode, reason: "served"}, false
 }
 
-// startSilenceTimer starts a timer that cancels the attempt after streamSilenceTimeout, so that another endpoint continues the
-// stream. It does nothing if no other endpoint may: a slow stream is better than a broken one, and its deadline ends it. The
-// result stops the timer.
+// startSilenceTimer starts a timer that lets another endpoint continue the stream after streamSilenceTimeout. It does nothing if
+// no other endpoint may: a slow stream is better than a broken one, and its deadline ends it. The result stops the timer.
 func (a *attempt) startSilenceTimer() func() {
 	x := a.x
 	if !x.route.Resumable || x.notResumable || x.possibleRuns >= x.route.Attempts {
 		return func() {}
 	}
-	t := time.AfterFunc(streamSilenceTimeout, func() { a.cancelForRetry(errNoResponse) })
-	return func() { t.Stop() }
+	req := x.poolRequest()
+	req.Retried, req.Begun, req.Deadline = true, true, x.deadline
+	t := &takeoverTimer{}
+	t.start(streamSilenceTimeout, func() bool { return a.takeOver(req) })
+	return t.stop
 }
 
 // checkEnd returns io.EOF if the end of the endpoint's response is the end of the stream, or else why it is not. rest is
