--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -140,7 +140,7 @@
 	return a.takeover != nil
 }
 
-// takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true. The zero value is stopped.
+// takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true.
 type takeoverTimer struct {
 	mu      sync.Mutex
 	timer   *time.Timer
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -178,12 +178,12 @@
 	service    route.Service
 	pool       *pool.Pool
 	body       []byte
-	reserved   int64   // bytes of buffers
-	units      float64 // that the request costs in the workspace's quota; 0 if there is no workspace
-	takenUnits float64 // units taken from the quota
+	reserved   int64     // bytes of buffers
+	units      float64   // that the request costs in the workspace's quota; 0 if there is no workspace
+	takenUnits float64   // units taken from the quota
+	takenAt    time.Time // when they were taken
 	// quotaUsed and quotaAllowed are the usage and the limit that led to a refusal.
 	quotaUsed, quotaAllowed float64
-	takenAt                 time.Time // when they were taken
 
 	arrived, deadline time.Time
 	objective         time.Time
