io/proxy: log the load that endpoints state, and the pauses of streams

Cause: which part of the late requests was late by its first event, by a pause or at a busy endpoint could not be told from the logs, nor how far the known load of an endpoint is from the real one. The load header is read and logged beside the load known here; streams log their longest pause.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -261,6 +261,7 @@
 	info := a.x.handler.o.Headers.ParseResponse(r)
 	if matched {
 		a.info = info
+		a.x.statedLoad, a.x.knownLoad = info.Load, a.x.pool.RecordLoad(time.Now(), a.grant, info.Load)
 	} else {
 		info.Notice = pool.Notice{Leaving: info.Notice.Leaving}
 	}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -74,6 +74,7 @@
 	NotRun      bool // the endpoint did not run the request
 	Misdirected bool // another endpoint has the address; the request did not run
 	Notice      pool.Notice
+	Load        pool.StatedLoad // zero if not stated
 }
 
 // HeaderCodec reads and writes the headers of the platform's protocol.
@@ -201,11 +202,15 @@
 	framing         framing.Framing   // of the last response of an endpoint; empty before the first one
 	unfinishedBytes int               // after the last complete event of that response
 	firstByte       time.Time         // when the response or its first event was written
+	lastEvents      time.Time         // when events of a stream were last written
+	longestPause    time.Duration     // between events of a stream
 	endpointID      core.EndpointID
 	stage           stage
 	queueTime       time.Duration
 	expectedLatency time.Duration // to the first event, as predicted by the pool
 	endpointLoad    int           // number of requests at the endpoint when it was chosen
+	statedLoad      pool.StatedLoad
+	knownLoad       int           // number of requests known to be at the endpoint when it stated its load
 	poolState       pool.State    // at the last decision of the pool
 	retryAfter      time.Duration // in the response to the caller
 	cause           error
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -61,6 +61,9 @@
 	if x.endpointID != "" {
 		values = append(values, "endpoint", x.endpointID, "sent", x.sends, "ran", x.possibleRuns, "running", x.endpointLoad, "expected", milliseconds(x.expectedLatency))
 	}
+	if x.statedLoad.Slots > 0 {
+		values = append(values, "known", x.knownLoad, "busy", x.statedLoad.Running, "queued", x.statedLoad.Waiting, "slowness", x.statedLoad.Slowness)
+	}
 	if x.units > 0 {
 		values = append(values, "units", x.units)
 	}
@@ -76,7 +79,10 @@
 	}
 	if !x.firstByte.IsZero() {
 		s.firstByte.Update(x.firstByte.Sub(x.arrived))
-		values = append(values, "first", milliseconds(x.firstByte.Sub(x.arrived)))
+		values = append(values, "first", milliseconds(x.firstByte.Sub(x.arrived)), "objective", milliseconds(x.route.Objective))
+	}
+	if x.longestPause > 0 {
+		values = append(values, "pause", milliseconds(x.longestPause), "gap", milliseconds(x.route.GapObjective))
 	}
 	if x.framing != "" {
 		values = append(values, "framing", x.framing)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -150,9 +150,13 @@
 	if len(events) == 0 {
 		return nil
 	}
+	now := time.Now()
 	if x.firstByte.IsZero() {
-		x.firstByte = time.Now()
+		x.firstByte = now
+	} else {
+		x.longestPause = max(x.longestPause, now.Sub(x.lastEvents))
 	}
+	x.lastEvents = now
 	if _, err := x.w.Write(events); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
