core/pool: prefer the own data centre by the age of reports, do not bound short requests by outdated ones

Reports from other data centres are some 230 ms old, an order takes 60 ms: what the reports list has ended, and what was sent since was added to it. And all instances send to endpoints that seem free in old reports.

* Endpoints of other data centres cost 0.4 times the age of their reports in the score, beside 8 ms.
* If reports are older than requests last (by Little's law from the reports), they do not bound what is sent; the latencies of the last requests, which the reports carry, then choose the endpoint.
* Late requests that wait at other instances count as competitors for free slots.
* The first values of a mean count equally.

Failed tries (simulation): places at endpoints by the slack until the objective; drawing endpoints at random; leaving the free slots of a data centre to it by its queue; a share of a new endpoint's slots for each instance in its first half second.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -15,9 +15,11 @@
 	// higher weight prefers endpoints with a short time between events to those with an early first event. 1/3 gave worse
 	// service on scale days.
 	durationWeight = 1.0 / 8
-	// remotePenalty is added to the score of endpoints in other data centres: traffic between data centres costs money
-	// and adds a few milliseconds.
-	remotePenalty = 8 * time.Millisecond
+	// minRemotePenalty is added to the score of endpoints in other data centres: traffic between data centres costs money
+	// and adds a few milliseconds. The older the reports of other data centres, the more of the slots that seem free there
+	// have been taken since, so remoteAgeWeight times their age is added too.
+	minRemotePenalty = 8 * time.Millisecond
+	remoteAgeWeight  = 0.4
 	// failurePenalty is the time that a failed attempt costs. The score of an endpoint includes it in proportion to the
 	// failure rate.
 	failurePenalty = 600 * time.Millisecond
@@ -145,7 +147,7 @@
 	}
 	candidateSlots := 0 // free slots of the candidates
 	listed := false
-	exclude := p.excluded(&t.req)
+	exclude, outdated := p.excluded(&t.req), p.reportsOutdated()
 	candidates := p.candidates[:0]
 	for _, e := range p.orderedEndpoints {
 		if slices.Contains(exclude, e.ID) {
@@ -158,6 +160,10 @@
 			continue
 		}
 		c := candidate{endpointState: e, freeInReports: e.Slots - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		if outdated {
+			// The latencies of the last requests show how long others wait at the endpoint.
+			c.freeInReports, c.netReleased = max(e.Slots-e.ownRunning, 0), 0
+		}
 		if c.freeInReports <= 0 && c.freeInReports+c.netReleased <= 0 {
 			continue
 		}
@@ -167,7 +173,7 @@
 	}
 	p.candidates = candidates
 	position := p.assumedPosition
-	if t.req.Retried {
+	if t.req.Retried || outdated {
 		position = 0 // its caller may be receiving the response already, or has waited for another endpoint
 	}
 	chosen := p.chooseEndpoint(candidates, int(position*float64(p.unreported(now)+1)))
@@ -260,7 +266,7 @@
 	first, last := p.model.predict(e, req)
 	s := first + time.Duration(durationWeight*float64(last-first)) + time.Duration(e.failureRate*float64(failurePenalty))
 	if e.Centre != p.o.Centre {
-		s += remotePenalty
+		s += p.remotePenalty
 	}
 	if !req.Objective.IsZero() && now.Add(first).After(req.Objective) {
 		s += missPenalty
@@ -288,7 +294,7 @@
 // retryAfter estimates the time in which the queued requests and one more are completed, from the mean interval between
 // completions.
 func (p *Pool) retryAfter() time.Duration {
-	if !p.completionInterval.mean.set {
+	if p.completionInterval.mean.n == 0 {
 		return minRetryAfter
 	}
 	return min(max(time.Duration(p.completionInterval.mean.value*float64(len(p.queue)+1)), minRetryAfter), maxRetryAfter)
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -29,18 +29,15 @@
 	maxConsecutiveSuspensions = 5
 )
 
-// average is an exponentially weighted mean.
+// average is an exponentially weighted mean. The first values count equally, as one alone may be far off.
 type average struct {
 	value float64
-	set   bool
+	n     int // number of values
 }
 
 func (a *average) add(v, weight float64) {
-	if !a.set {
-		a.value, a.set = v, true
-		return
-	}
-	a.value += weight * (v - a.value)
+	a.n++
+	a.value += max(weight, 1/float64(a.n)) * (v - a.value)
 }
 
 // endpointState holds the load, the latency and the failures of one endpoint.
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -61,6 +62,8 @@
 	index    map[core.EndpointID]int
 	rng      *rand.Rand
 	results  map[string]*result
+	// longestQueue is the largest number of requests that waited at one engine.
+	longestQueue int
 }
 
 // cluster describes the instances and engines of a simulation.
@@ -69,8 +72,15 @@
 	// engineQueueLimit is the number of waiting requests at which an engine rejects further ones; 0 for no limit.
 	engineQueueLimit int
 	reportInterval   time.Duration // between reports
+	// summaryInterval is the time between the sums of a data centre, which replace the reports of its instances elsewhere; 0
+	// if all instances send reports to each other.
+	summaryInterval time.Duration
+	centres         int // number of data centres; 3 if 0
 	// breaksRequests reports whether an engine breaks every request at time s, in seconds.
 	breaksRequests func(engine int, s float64) bool
+	// absentEngines are the first ones, which are listed only from absentUntil on.
+	absentEngines int
+	absentUntil   time.Duration
 	// slowdowns are the relative service times, assigned to the engines in rotation; higher is slower.
 	slowdowns []float64
 }
@@ -81,8 +91,9 @@
 	simulatedTimePerToken  = 7 * time.Microsecond  // per token of a prompt
 	simulatedMinFirstEvent = 30 * time.Millisecond // time to the first event for an empty prompt
 	abandonAfter           = 2 * time.Second
-	reportDelay            = 3 * time.Millisecond // from an instance to another
-	resendDelay            = 3 * time.Millisecond // from sending a request that fails until it is submitted again
+	reportDelay            = 3 * time.Millisecond  // from an instance to another
+	listSpread             = 30 * time.Millisecond // time in which all instances learn of a change of the list
+	resendDelay            = 3 * time.Millisecond  // from sending a request that fails until it is submitted again
 )
 
 // smallCluster returns a cluster of the size that a small company runs: six instances, and engines of three speeds.
@@ -92,19 +103,28 @@
 
 // simulate runs the workloads for the given span and returns the results by the name of the workload.
 func simulate(seed uint64, f cluster, span time.Duration, workloads ...workload) map[string]*result {
+	return run(seed, f, span, workloads...).results
+}
+
+// run runs the workloads for the given span and returns the simulation at its end.
+func run(seed uint64, f cluster, span time.Duration, workloads ...workload) *simulation {
 	s := &simulation{
 		cluster: f, now: begin, running: map[core.EndpointID]int{}, waiting: map[core.EndpointID][]func(){}, slowdown: map[core.EndpointID]float64{}, index: map[core.EndpointID]int{},
 		rng: rand.New(rand.NewPCG(seed, 1)), results: map[string]*result{},
 	}
 	list := endpoints(f.engines, f.slots)
+	s.centres = cmp.Or(s.centres, 3)
 	for i := range list {
-		list[i].Centre = core.DataCentre("abc"[i%3 : i%3+1])
+		list[i].Centre = s.centre(i)
 		s.index[list[i].ID] = i
-		s.slowdown[list[i].ID] = f.slowdowns[i%len(f.slowdowns)]
+		s.slowdown[list[i].ID] = f.slowdowns[i/s.centres%len(f.slowdowns)]
 	}
 	for i := range f.instances {
-		p := pool.New(pool.Options{Centre: core.DataCentre("abc"[i%3 : i%3+1]), Seed: uint64(i) * 977})
-		p.SetEndpoints(begin, list)
+		p := pool.New(pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977})
+		p.SetEndpoints(begin, list[f.absentEngines:])
+		if f.absentEngines > 0 {
+			s.after(f.absentUntil+time.Duration(s.rng.Int64N(int64(listSpread))), func() { p.SetEndpoints(s.now, list) })
+		}
 		s.pools = append(s.pools, p)
 	}
 	end := begin.Add(span)
@@ -112,14 +132,23 @@
 		s.results[w.name] = &result{}
 		s.scheduleArrival(w, end)
 	}
-	s.after(0, func() { s.exchangeReports(end) })
+	if s.summaryInterval == 0 {
+		s.after(0, func() { s.exchangeReports(end) })
+	} else {
+		for i := range s.pools {
+			s.after(time.Duration(s.rng.Int64N(int64(s.cluster.reportInterval))), func() { s.exchangeReport(end, i) })
+		}
+		for c := range s.centres {
+			s.after(time.Duration(s.rng.Int64N(int64(s.summaryInterval))), func() { s.exchangeSums(end, c) })
+		}
+	}
 	s.after(0, func() { s.tick(end) })
 	for s.pending.Len() > 0 {
 		e := heap.Pop(&s.pending).(event)
 		s.now = e.at
 		e.do()
 	}
-	return s.results
+	return s
 }
 
 // after schedules do for the time d from now.
@@ -184,6 +213,7 @@
 	n := int(req.MaxOutput / simulatedEventTokens)
 	accepted := s.runOnEngine(id, req.Prompt, func(first time.Duration, done func()) {
 		s.after(first, func() {
+			p.RecordLoad(s.now, granted, pool.StatedLoad{Running: s.running[id], Waiting: len(s.waiting[id]), Slots: s.slots})
 			p.RecordFirstEvent(s.now, granted)
 			took := s.now.Sub(req.Arrived)
 			switch {
@@ -227,25 +257,59 @@
 		return false
 	default:
 		s.waiting[id] = append(s.waiting[id], start)
+		s.longestQueue = max(s.longestQueue, len(s.waiting[id]))
 	}
 	return true
 }
 
-// exchangeReports sends the report of each instance to all others.
+// centre returns the data centre of an instance or engine.
+func (s *simulation) centre(i int) core.DataCentre {
+	return core.DataCentre("abcdefgh"[i%s.centres : i%s.centres+1])
+}
+
+// exchangeReports sends the reports of all instances to all others. In a fleet with sums, exchangeReport does.
 func (s *simulation) exchangeReports(end time.Time) {
-	for i, p := range s.pools {
-		r := p.TakeReport()
-		for j, other := range s.pools {
-			if j != i {
-				s.after(reportDelay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint(i)), i%3 == j%3, r) })
-			}
-		}
+	for i := range s.pools {
+		s.sendReport(i)
 	}
 	if s.now.Before(end) {
 		s.after(s.cluster.reportInterval, func() { s.exchangeReports(end) })
 	}
 }
 
+// exchangeReport sends the report of one instance to those of its data centre.
+func (s *simulation) exchangeReport(end time.Time, i int) {
+	s.sendReport(i)
+	if s.now.Before(end) {
+		s.after(s.cluster.reportInterval, func() { s.exchangeReport(end, i) })
+	}
+}
+
+// sendReport sends the report of an instance to all others, or only to those of its data centre if there are sums.
+func (s *simulation) sendReport(i int) {
+	r := s.pools[i].TakeReport()
+	for j, other := range s.pools {
+		if same := i%s.centres == j%s.centres; j != i && (same || s.summaryInterval == 0) {
+			s.after(reportDelay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint(i)), same, r) })
+		}
+	}
+}
+
+// exchangeSums sends the sum of a data centre to the instances elsewhere, one of which passes it on with its next report.
+func (s *simulation) exchangeSums(end time.Time, c int) {
+	r := s.pools[c].CentreReport(s.now)
+	delay := reportDelay + time.Duration(s.rng.Int64N(int64(s.reportInterval)))
+	for j, other := range s.pools {
+		if j%s.centres != c {
+			r.Validity = 5 * s.summaryInterval
+			s.after(delay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint("centre ", c)), false, r) })
+		}
+	}
+	if s.now.Before(end) {
+		s.after(s.summaryInterval, func() { s.exchangeSums(end, c) })
+	}
+}
+
 // tick calls Tick on all pools every 5 ms, until 5 s after end.
 func (s *simulation) tick(end time.Time) {
 	for _, p := range s.pools {
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -79,7 +79,7 @@
 	}
 	f := slowdown * (c + s*float64(e.promptBacklog()+req.Prompt))
 	interval := float64(defaultEventInterval)
-	if e.eventInterval.set {
+	if e.eventInterval.n > 0 {
 		interval = e.eventInterval.value
 	}
 	return time.Duration(f), time.Duration(f + interval*float64(req.MaxOutput)/assumedTokensPerEvent)
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"monsoondale/core"
 )
 
@@ -17,6 +19,10 @@
 const (
 	// peerRateWeight is the weight of the newest report in another instance's rate of first events.
 	peerRateWeight = 0.1
+	// peerServiceTimeWeight is the weight of the newest reports in the mean service time of the other instances, which is relied on
+	// after minPeerServiceTimes of them.
+	peerServiceTimeWeight = 0.05
+	minPeerServiceTimes   = 20
 	// maxUnreported bounds the result of unreported, and with it the time that the loop in chooseEndpoint takes.
 	maxUnreported = 512
 )
@@ -35,6 +41,7 @@
 	sameCentre bool
 	loads      map[core.EndpointID]Load
 	waiting    []int
+	late       int
 	rate       average // first events per second, of which a report has at most maxReportEntries
 }
 
@@ -64,6 +71,7 @@
 type Report struct {
 	Loads   []Load
 	Waiting []int // queued requests that can still be on time, by tier
+	Late    int   // queued requests that cannot
 	// Samples and Failures cover the time since the last report. Failures has the endpoint of each attempt whose outcome
 	// was Broken or Unreachable.
 	Samples  []Sample
@@ -80,6 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := Report{Samples: p.centreSamples, Waiting: p.waitingByTier()}
+	r.Late = len(p.queue) - lo.Sum(r.Waiting)
 	p.centreSamples = nil
 	loads := map[core.EndpointID]Load{}
 	for _, e := range p.orderedEndpoints {
@@ -94,6 +103,7 @@
 		}
 		reports++
 		r.Age += now.Sub(pr.at)
+		r.Late += pr.late
 		for tier, n := range pr.waiting {
 			if tier < len(r.Waiting) {
 				r.Waiting[tier] += n
@@ -138,6 +148,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := Report{Samples: p.samples, Failures: p.failures, Waiting: p.waitingByTier()}
+	r.Late = len(p.queue) - lo.Sum(r.Waiting)
 	p.samples, p.failures = nil, nil
 	p.assumedPosition = p.rng.Float64()
 	for _, e := range p.orderedEndpoints {
@@ -157,7 +168,7 @@
 	defer p.mu.Unlock()
 	pr := peerReport{
 		at: now.Add(-r.Age), validity: max(r.Validity, reportValidity), sameCentre: sameCentre, rate: p.peers[from].rate,
-		loads: make(map[core.EndpointID]Load, len(r.Loads)), waiting: r.Waiting,
+		loads: make(map[core.EndpointID]Load, len(r.Loads)), waiting: r.Waiting, late: r.Late,
 	}
 	for _, l := range r.Loads {
 		pr.loads[l.Endpoint] = l
@@ -190,18 +201,32 @@
 	for _, e := range p.orderedEndpoints {
 		e.peerLoad = peerLoad{}
 	}
+	running, age, rate := 0, time.Duration(0), 0.0
+	remote, remoteAge := 0, time.Duration(0)
 	for id, pr := range p.peers {
 		if now.Sub(pr.at) > pr.validity {
 			delete(p.peers, id)
 			continue
 		}
+		rate += pr.rate.value
+		if !pr.sameCentre {
+			remote++
+			remoteAge += now.Sub(pr.at)
+		}
 		for endpointID, l := range pr.loads {
 			if e := p.endpoints[endpointID]; e != nil {
 				e.peerLoad.running += l.Running
 				e.peerLoad.pendingPrompt += l.PendingPrompt
+				running += l.Running
+				age += time.Duration(l.Running) * now.Sub(pr.at)
 			}
 		}
 	}
+	p.peerLoadAge = age / time.Duration(max(running, 1))
+	p.remotePenalty = minRemotePenalty + time.Duration(remoteAgeWeight*float64(remoteAge)/float64(max(remote, 1)))
+	if rate > 0 && running > 0 { // Little's law
+		p.peerServiceTime.add(float64(running)/rate, peerServiceTimeWeight)
+	}
 }
 
 // moreUrgentAtPeers returns the number of requests of more urgent tiers that are queued at other instances.
@@ -217,6 +242,12 @@
 	return n
 }
 
+// reportsOutdated reports whether most of the requests that the reports list as running have ended since, so that the reports
+// do not show which slots are free.
+func (p *Pool) reportsOutdated() bool {
+	return p.peerServiceTime.n >= minPeerServiceTimes && p.peerLoadAge.Seconds() > p.peerServiceTime.value
+}
+
 // unreported estimates how many requests of other instances hold a slot, or will take the next free one, without being
 // listed as running in the last reports: the requests sent since the report, at the recent rate of the instance, and
 // those that were queued at the time of the report. If the mean service time is shorter than the age of a report, only
@@ -225,10 +256,7 @@
 	n := 0.0
 	for _, pr := range p.peers {
 		age := max(now.Sub(pr.at), time.Millisecond)
-		m := pr.rate.value * age.Seconds()
-		for _, w := range pr.waiting {
-			m += float64(w)
-		}
+		m := pr.rate.value*age.Seconds() + float64(lo.Sum(pr.waiting)+pr.late)
 		n += m * min(1, p.serviceTime.value/float64(age))
 	}
 	return min(int(n), maxUnreported)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -155,7 +155,10 @@
 	orderedEndpoints   []*endpointState // by id
 	queue              []*Ticket        // in the order of precedes
 	peers              map[core.InstanceID]peerReport
-	lastPeerSum        time.Time // when sumPeerLoads last ran
+	lastPeerSum        time.Time     // when sumPeerLoads last ran
+	peerLoadAge        time.Duration // mean age of the requests in the reports, when sumPeerLoads last ran
+	peerServiceTime    average       // seconds from grant to completion at the other instances
+	remotePenalty      time.Duration // see minRemotePenalty
 	model              latencyModel
 	completionInterval intervalAverage
 	samples            []Sample          // since the last report
@@ -172,7 +175,7 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]peerReport{}, rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]peerReport{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // SetEndpoints replaces the list of endpoints. Requests at endpoints that are no longer listed continue.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -276,3 +276,36 @@
 	free, _ := p.Free(now.Add(6 * time.Second))
 	g.Expect(free).To(BeZero(), "only the granted slot is taken")
 }
+
+// Guards against requests that go to another data centre, whose reports are old, while an endpoint of the own one would be on time,
+// and against those that stay here and are late.
+func TestOldReportsOfOtherDataCentres(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		age     time.Duration // of the reports of the other data centre
+		latency time.Duration // of the own endpoint; that of the other one is 30 ms
+		remote  bool
+	}{
+		{"recent reports, faster elsewhere", 20 * time.Millisecond, 90 * time.Millisecond, true},
+		{"old reports, faster elsewhere", 300 * time.Millisecond, 90 * time.Millisecond, false},
+		{"old reports, late here", 300 * time.Millisecond, 600 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			list := endpoints(2, 4)
+			list[1].Centre = "b"
+			p := newPool(list)
+			r := pool.Report{Age: c.age}
+			for range 30 {
+				r.Samples = append(r.Samples, pool.Sample{Endpoint: "e00", PromptBacklog: 1000, Latency: c.latency},
+					pool.Sample{Endpoint: "e01", PromptBacklog: 1000, Latency: 30 * time.Millisecond})
+			}
+			p.ApplyReport(begin, "centre b", false, r)
+			want := core.EndpointID("e00")
+			if c.remote {
+				want = "e01"
+			}
+			g.Expect(grant(g, p.Submit(begin, request(1, begin))).Endpoint.ID).To(Equal(want))
+		})
+	}
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -17,7 +17,7 @@
 // parallel lists. Of the loads, Endpoints holds Endpoint, Running holds Running and Reading holds PendingPrompt. Of the
 // samples, Seen holds Endpoint, Ahead holds PromptBacklog and First holds Latency in milliseconds.
 func encodeReport(s route.Service, r pool.Report) wire.Pool {
-	w := wire.Pool{Service: string(s), Waiting: r.Waiting}
+	w := wire.Pool{Service: string(s), Waiting: r.Waiting, Late: r.Late}
 	for _, l := range r.Loads {
 		w.Endpoints = append(w.Endpoints, string(l.Endpoint))
 		w.Running = append(w.Running, l.Running)
@@ -36,7 +36,7 @@
 
 // decodeReport converts the wire format of a pool's report, whose parallel lists must have equal lengths.
 func decodeReport(w *wire.Pool) (pool.Report, error) {
-	r := pool.Report{Waiting: w.Waiting}
+	r := pool.Report{Waiting: w.Waiting, Late: w.Late}
 	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) {
 		return r, errListLengths
 	}
--- a/gateway/report_test.go
+++ b/gateway/report_test.go
@@ -16,6 +16,7 @@
 	r := pool.Report{
 		Loads:   []pool.Load{{Endpoint: "e1", Running: 2, PendingPrompt: 300}},
 		Waiting: []int{0, 3},
+		Late:    2,
 		Samples: []pool.Sample{{Endpoint: "e2", PromptBacklog: 1200, Latency: 85 * time.Millisecond}},
 	}
 	r.Failures = append(r.Failures, "e3")
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -98,10 +98,11 @@
 // Pool is the sender's load at the endpoints of one service. Endpoints, Running
 // and Reading have an entry for each endpoint with load: its id, the requests in
 // progress, and the prompt tokens that it has not read. Waiting has the number of
-// waiting requests for each tier. Seen, Ahead and First have an entry for each
-// response that began since the last digest: the endpoint, the prompt tokens that
-// it had to read, and the milliseconds until the response began. Failed has the
-// endpoint of each request since then that an endpoint broke.
+// waiting requests that can still be on time for each tier, Late that of the
+// others. Seen, Ahead and First have an entry for each response that began since
+// the last digest: the endpoint, the prompt tokens that it had to read, and the
+// milliseconds until the response began. Failed has the endpoint of each request
+// since then that an endpoint broke.
 type Pool struct {
 	// Ahead corresponds to the JSON schema field "ahead".
 	Ahead []int `json:"ahead,omitempty,omitzero"`
@@ -115,6 +116,9 @@
 	// First corresponds to the JSON schema field "first".
 	First []int `json:"first,omitempty,omitzero"`
 
+	// Late corresponds to the JSON schema field "late".
+	Late int `json:"late,omitempty,omitzero"`
+
 	// Reading corresponds to the JSON schema field "reading".
 	Reading []int `json:"reading,omitempty,omitzero"`
 
