core/pool: scale predictions by the slowness that endpoints state

Cause: engines of the further sites state in each response how long work takes there at the moment (0.55, 1 or 2.8 times, and 2.5 times that in spells of under a second). Nothing used it; the learned factor follows only after many responses, of which an instance of a large fleet gets few.

The newest value counts for half a second, then the mean; samples carry it to the other instances. The learned factor remains for what the endpoint does not state, such as a queue.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -131,7 +131,7 @@
 	fastest := time.Duration(-1)
 	for _, e := range p.orderedEndpoints {
 		if e.available(now) {
-			if f, _ := p.model.predict(e, &t.req); fastest < 0 || f < fastest {
+			if f, _ := p.model.predict(now, e, &t.req); fastest < 0 || f < fastest {
 				fastest = f
 			}
 		}
@@ -176,7 +176,7 @@
 	if t.req.Retried || outdated {
 		position = 0 // its caller may be receiving the response already, or has waited for another endpoint
 	}
-	chosen := p.chooseEndpoint(candidates, int(position*float64(p.unreported(now)+1)))
+	chosen := p.chooseEndpoint(now, candidates, int(position*float64(p.unreported(now)+1)))
 	// Leaves a free slot for each more urgent request that is queued at another instance, unless this one is retried.
 	if chosen != nil && (candidateSlots > p.moreUrgentAtPeers(t.req.Tier) || t.req.Retried) {
 		return p.grant(now, chosen, t)
@@ -225,14 +225,14 @@
 // yet. Each of these goes to the endpoint with the lowest score, takes a slot and raises the score; this changes
 // candidates. The simulated requests take no slots that this instance released since its last report, as no other
 // instance knows of these.
-func (p *Pool) chooseEndpoint(candidates []candidate, earlier int) *endpointState {
+func (p *Pool) chooseEndpoint(now time.Time, candidates []candidate, earlier int) *endpointState {
 	for range earlier {
 		c := lowestScore(candidates, func(c *candidate) bool { return c.freeInReports > 0 })
 		if c == nil {
 			break
 		}
 		c.freeInReports--
-		c.score += p.model.marginalDelay(c.endpointState, core.Tokens(p.meanPrompt.value))
+		c.score += p.model.marginalDelay(now, c.endpointState, core.Tokens(p.meanPrompt.value))
 	}
 	if c := lowestScore(candidates, func(c *candidate) bool { return c.freeInReports+c.netReleased > 0 }); c != nil {
 		return c.endpointState
@@ -263,7 +263,7 @@
 
 // score rates an endpoint for a request as a time; lower is better.
 func (p *Pool) score(now time.Time, e *endpointState, req *Request) time.Duration {
-	first, last := p.model.predict(e, req)
+	first, last := p.model.predict(now, e, req)
 	s := first + time.Duration(durationWeight*float64(last-first)) + time.Duration(e.failureRate*float64(failurePenalty))
 	if e.Centre != p.o.Centre {
 		s += p.remotePenalty
@@ -278,7 +278,7 @@
 
 // grant assigns a slot of an endpoint to a request.
 func (p *Pool) grant(now time.Time, e *endpointState, t *Ticket) *Grant {
-	first, _ := p.model.predict(e, &t.req)
+	first, _ := p.model.predict(now, e, &t.req)
 	g := &Grant{
 		Endpoint: e.Endpoint, ExpectedLatency: first, RunningAtEndpoint: e.totalRunning(), State: p.state(now),
 		endpointState: e, req: t.req, sent: now, promptBacklog: e.promptBacklog() + t.req.Prompt,
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -48,7 +48,8 @@
 	peerLoad        peerLoad
 	reportedRunning int // value of ownRunning in this instance's last report
 
-	slowdown      float64 // time to the first event relative to latencyModel; higher is slower
+	stated        slowness
+	slowdown      float64 // time to the first event relative to latencyModel and the stated slowness; higher is slower
 	samples       int     // first events measured here or reported by other instances
 	eventInterval average // nanoseconds between events
 
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -30,10 +30,12 @@
 )
 
 // latencyModel predicts the time to the first event as a linear function of the prompt tokens that the endpoint has to
-// process before it. All endpoints of a pool share one line, which each endpoint's slowdown scales. The line is fitted
-// by least squares with exponential decay; the fields are the weighted sums of the samples.
+// process before it. All endpoints of a pool share one line, which each endpoint's stated slowness and slowdown scale. The line
+// is fitted by least squares with exponential decay; the fields are the weighted sums of the samples.
 type latencyModel struct {
 	n, x, y, xx, xy float64 // n is the sum of the weights; x is in prompt tokens, y in nanoseconds
+	// eventInterval is the mean time between events at an endpoint with a slowness of 1, in nanoseconds.
+	eventInterval average
 }
 
 // coefficients returns the constant and the slope of the fitted line, in nanoseconds and nanoseconds per token.
@@ -57,11 +59,14 @@
 }
 
 // addSample updates the fit and the slowdown of an endpoint with a measured time to the first event.
-func (m *latencyModel) addSample(e *endpointState, promptBacklog core.Tokens, firstEvent time.Duration) {
+func (m *latencyModel) addSample(e *endpointState, s Sample) {
 	e.samples++
-	x, y := float64(promptBacklog), float64(firstEvent)
-	c, s := m.coefficients()
-	if expected := c + s*x; expected > 0 && m.n >= minSlowdownWeight {
+	x, y := float64(s.PromptBacklog), float64(s.Latency)
+	if s.Slowness > 0 {
+		y /= s.Slowness
+	}
+	c, slope := m.coefficients()
+	if expected := c + slope*x; expected > 0 && m.n >= minSlowdownWeight {
 		ratio := min(max(y/expected, minSlowdown), maxSlowdown)
 		e.slowdown += slowdownWeight * (ratio - e.slowdown)
 	}
@@ -71,15 +76,19 @@
 
 // predict returns the expected time to the first event and to the last event of a response, which is assumed to have the
 // maximum length.
-func (m *latencyModel) predict(e *endpointState, req *Request) (first, last time.Duration) {
+func (m *latencyModel) predict(now time.Time, e *endpointState, req *Request) (first, last time.Duration) {
 	c, s := m.coefficients()
-	slowdown := e.slowdown
-	if e.samples < minEndpointSamples {
+	stated := e.stated.value(now)
+	slowdown := e.slowdown * stated
+	if e.samples < minEndpointSamples && e.stated.mean.n == 0 {
 		slowdown *= newEndpointFactor
 	}
 	f := slowdown * (c + s*float64(e.promptBacklog()+req.Prompt))
 	interval := float64(defaultEventInterval)
-	if e.eventInterval.n > 0 {
+	switch {
+	case e.stated.mean.n > 0 && m.eventInterval.n > 0:
+		interval = stated * m.eventInterval.value
+	case e.eventInterval.n > 0:
 		interval = e.eventInterval.value
 	}
 	return time.Duration(f), time.Duration(f + interval*float64(req.MaxOutput)/assumedTokensPerEvent)
@@ -87,9 +96,9 @@
 
 // marginalDelay returns by how much one more request with the given number of prompt tokens delays the first event of
 // the next request. On average, half of these tokens are still unprocessed when the next request arrives.
-func (m *latencyModel) marginalDelay(e *endpointState, prompt core.Tokens) time.Duration {
+func (m *latencyModel) marginalDelay(now time.Time, e *endpointState, prompt core.Tokens) time.Duration {
 	_, s := m.coefficients()
-	return time.Duration(e.slowdown * s * float64(prompt) / 2)
+	return time.Duration(e.stated.value(now) * e.slowdown * s * float64(prompt) / 2)
 }
 
 // completionIntervalWeight is the weight of the newest interval in the mean of an intervalAverage, which covers about 20
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -58,6 +58,7 @@
 	Endpoint      core.EndpointID
 	PromptBacklog core.Tokens
 	Latency       time.Duration
+	Slowness      float64 // stated by the endpoint; 0 if not
 }
 
 // maxReportEntries bounds the samples and, separately, the failures of a report. Usually there are only a few of each
@@ -179,7 +180,8 @@
 	p.peers[from] = pr
 	for _, s := range r.Samples {
 		if e := p.endpoints[s.Endpoint]; e != nil {
-			p.model.addSample(e, s.PromptBacklog, s.Latency)
+			e.stated.record(pr.at, s.Slowness)
+			p.model.addSample(e, s)
 			if sameCentre {
 				p.addCentreSample(s)
 				p.updateAndLog(now, e, func() { e.recordPeerOutcome(now, false, p.rng) })
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -87,8 +87,9 @@
 	// promptBacklog is the number of prompt tokens that the endpoint processes before the first event, including those of
 	// this request.
 	promptBacklog core.Tokens
-	responseBegan bool // the response has begun
-	probe         bool // the endpoint is being probed after a suspension
+	responseBegan bool    // the response has begun
+	slowness      float64 // stated in the response; 0 if not
+	probe         bool    // the endpoint is being probed after a suspension
 }
 
 func (*Grant) decision()  {}
@@ -264,8 +265,8 @@
 	g.responseBegan = true
 	g.endpointState.lastResponse = now
 	g.endpointState.pendingPrompt -= g.req.Prompt
-	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent)}
-	p.model.addSample(g.endpointState, s.PromptBacklog, s.Latency)
+	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
+	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
 		p.samples = append(p.samples, s)
 	}
@@ -287,7 +288,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.endpointState.eventInterval.add(float64(d)/float64(events), streamIntervalWeight)
+	interval := float64(d) / float64(events)
+	g.endpointState.eventInterval.add(interval, streamIntervalWeight)
+	if g.slowness > 0 {
+		p.model.eventInterval.add(interval/g.slowness, requestWeight)
+	}
 }
 
 // Release frees the slot of a grant and records the outcome of its request.
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"monsoondale/core"
 	"monsoondale/core/pool"
@@ -15,7 +17,7 @@
 
 // encodeReport converts the report of a pool to its wire format, in which the fields of the loads and of the samples are
 // parallel lists. Of the loads, Endpoints holds Endpoint, Running holds Running and Reading holds PendingPrompt. Of the
-// samples, Seen holds Endpoint, Ahead holds PromptBacklog and First holds Latency in milliseconds.
+// samples, Seen holds Endpoint, Ahead holds PromptBacklog, First holds Latency in milliseconds and Pace holds Slowness in percent.
 func encodeReport(s route.Service, r pool.Report) wire.Pool {
 	w := wire.Pool{Service: string(s), Waiting: r.Waiting, Late: r.Late}
 	for _, l := range r.Loads {
@@ -27,6 +29,10 @@
 		w.Seen = append(w.Seen, string(v.Endpoint))
 		w.Ahead = append(w.Ahead, int(v.PromptBacklog))
 		w.First = append(w.First, int(v.Latency.Milliseconds()))
+		w.Pace = append(w.Pace, int(math.Round(100*v.Slowness)))
+	}
+	if lo.Sum(w.Pace) == 0 {
+		w.Pace = nil
 	}
 	for _, id := range r.Failures {
 		w.Failed = append(w.Failed, string(id))
@@ -37,16 +43,20 @@
 // decodeReport converts the wire format of a pool's report, whose parallel lists must have equal lengths.
 func decodeReport(w *wire.Pool) (pool.Report, error) {
 	r := pool.Report{Waiting: w.Waiting, Late: w.Late}
-	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) {
+	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) || len(w.Pace) > 0 && len(w.Pace) != len(w.Seen) {
 		return r, errListLengths
 	}
 	for i, e := range w.Endpoints {
 		r.Loads = append(r.Loads, pool.Load{Endpoint: core.EndpointID(e), Running: w.Running[i], PendingPrompt: core.Tokens(w.Reading[i])})
 	}
 	for i, e := range w.Seen {
-		r.Samples = append(r.Samples, pool.Sample{
+		s := pool.Sample{
 			Endpoint: core.EndpointID(e), PromptBacklog: core.Tokens(w.Ahead[i]), Latency: time.Duration(w.First[i]) * time.Millisecond,
-		})
+		}
+		if len(w.Pace) > 0 {
+			s.Slowness = float64(w.Pace[i]) / 100
+		}
+		r.Samples = append(r.Samples, s)
 	}
 	for _, e := range w.Failed {
 		r.Failures = append(r.Failures, core.EndpointID(e))
--- a/gateway/report_test.go
+++ b/gateway/report_test.go
@@ -17,7 +17,7 @@
 		Loads:   []pool.Load{{Endpoint: "e1", Running: 2, PendingPrompt: 300}},
 		Waiting: []int{0, 3},
 		Late:    2,
-		Samples: []pool.Sample{{Endpoint: "e2", PromptBacklog: 1200, Latency: 85 * time.Millisecond}},
+		Samples: []pool.Sample{{Endpoint: "e2", PromptBacklog: 1200, Latency: 85 * time.Millisecond, Slowness: 2.5}},
 	}
 	r.Failures = append(r.Failures, "e3")
 	w := encodeReport("s", r)
@@ -34,6 +34,7 @@
 		{Endpoints: []string{"e1"}, Running: []int{1}},
 		{Seen: []string{"e1"}, First: []int{1}},
 		{Seen: []string{"e1"}, Ahead: []int{1}},
+		{Seen: []string{"e1"}, Ahead: []int{1}, First: []int{1}, Pace: []int{100, 100}},
 	} {
 		_, err := decodeReport(&w)
 		NewWithT(t).Expect(err).To(HaveOccurred())
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -101,8 +101,9 @@
 // waiting requests that can still be on time for each tier, Late that of the
 // others. Seen, Ahead and First have an entry for each response that began since
 // the last digest: the endpoint, the prompt tokens that it had to read, and the
-// milliseconds until the response began. Failed has the endpoint of each request
-// since then that an endpoint broke.
+// milliseconds until the response began. Pace, if not empty, has the percentage of
+// the usual time that work took there, 0 if the endpoint did not state it. Failed
+// has the endpoint of each request since then that an endpoint broke.
 type Pool struct {
 	// Ahead corresponds to the JSON schema field "ahead".
 	Ahead []int `json:"ahead,omitempty,omitzero"`
@@ -119,6 +120,9 @@
 	// Late corresponds to the JSON schema field "late".
 	Late int `json:"late,omitempty,omitzero"`
 
+	// Pace corresponds to the JSON schema field "pace".
+	Pace []int `json:"pace,omitempty,omitzero"`
+
 	// Reading corresponds to the JSON schema field "reading".
 	Reading []int `json:"reading,omitempty,omitzero"`
 
