core/pool: long prompts wait for endpoints whose streams do not pause

A request that can still be on time does not go where reading its prompt would interrupt streams for too long by what the endpoint states, if another endpoint can read it without that; shorter prompts get the free slots.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -146,6 +146,7 @@
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
 	candidateSlots := 0 // free slots of the candidates
+	unharmed := p.readsWithoutPause(now, t)
 	listed := false
 	exclude, outdated := p.excluded(&t.req), p.reportsOutdated()
 	candidates := p.candidates[:0]
@@ -156,7 +157,7 @@
 		if !e.leaving() {
 			listed = true
 		}
-		if !e.available(now) {
+		if !e.available(now) || unharmed && p.interrupts(now, e, &t.req) {
 			continue
 		}
 		c := candidate{endpointState: e, freeInReports: e.Slots - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
@@ -251,6 +252,25 @@
 	return best
 }
 
+// interrupts reports whether reading the prompt of a request would make the streams at an endpoint pause for longer than they may.
+func (p *Pool) interrupts(now time.Time, e *endpointState, req *Request) bool {
+	return req.GapObjective > 0 && e.totalRunning() > 0 && p.model.pause(now, e, req) > req.GapObjective
+}
+
+// readsWithoutPause reports whether a request can still be on time, and some endpoint can read its prompt without a long pause of
+// its streams, at least once slots are free there. The request then waits for such an endpoint.
+func (p *Pool) readsWithoutPause(now time.Time, t *Ticket) bool {
+	if t.late || t.req.Retried || t.req.GapObjective <= 0 {
+		return false
+	}
+	for _, e := range p.orderedEndpoints {
+		if e.available(now) && !p.interrupts(now, e, &t.req) {
+			return true
+		}
+	}
+	return false
+}
+
 // excluded returns the endpoints to skip for a request: those that were tried, unless no other is left.
 func (p *Pool) excluded(req *Request) []core.EndpointID {
 	for _, e := range p.orderedEndpoints {
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -94,6 +94,16 @@
 	return time.Duration(f), time.Duration(f + interval*float64(req.MaxOutput)/assumedTokensPerEvent)
 }
 
+// pause returns the expected time between two events of the streams at an endpoint while it reads the prompt of a request, or 0 if
+// the endpoint does not state how slow it is.
+func (m *latencyModel) pause(now time.Time, e *endpointState, req *Request) time.Duration {
+	if e.stated.mean.n == 0 || m.eventInterval.n == 0 {
+		return 0
+	}
+	_, s := m.coefficients()
+	return time.Duration(e.stated.value(now) * (m.eventInterval.value + s*float64(e.promptBacklog()+req.Prompt)))
+}
+
 // marginalDelay returns by how much one more request with the given number of prompt tokens delays the first event of
 // the next request. On average, half of these tokens are still unprocessed when the next request arrives.
 func (m *latencyModel) marginalDelay(now time.Time, e *endpointState, prompt core.Tokens) time.Duration {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -37,6 +37,8 @@
 	// Objective is the latest time at which the response, or the first event of a stream, counts as on time. Zero for
 	// none.
 	Objective time.Time
+	// GapObjective is the longest pause between the events of a stream that is on time; 0 for none.
+	GapObjective time.Duration
 	// Deadline is the time by which the response, or the first event, must begin, as it is of no use to the caller later.
 	// A request that is still queued at its deadline is refused.
 	Deadline time.Time
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -501,7 +501,7 @@
 func (x *exchange) poolRequest() pool.Request {
 	return pool.Request{
 		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
-		Rank: int(x.route.Tier), Objective: x.objective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
+		Rank: int(x.route.Tier), Objective: x.objective, GapObjective: x.route.GapObjective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
 		Retried: x.sends > 0, Begun: x.headerWritten,
 	}
 }
