platform: a record of the use of quotas replaces only the version that its writer knows

Cause, from a report of other operators on hand-overs: the record was written without a condition. A write of a former recorder without a response may be executed seconds later and replace a newer record; after a stop of all processes, these would grant the units of that time again.

Writes name the revision that they replace. One whose response was lost is recognised by its content and replaced; a record of another instance is replaced by the next write, which follows at once. Copies and watches need no such guard: copies carry revisions, and any number of instances may watch.

--- a/gateway/store.go
+++ b/gateway/store.go
@@ -38,6 +38,9 @@
 	Centre  core.DataCentre
 }
 
+// ErrChanged means that another instance has written an object meanwhile.
+var ErrChanged = errors.New("changed by another instance")
+
 // Store gives access to the objects in the platform's store.
 type Store interface {
 	// List returns all objects of a collection and the store's revision.
@@ -48,7 +51,8 @@
 	Register(ctx context.Context, m InstanceEntry) error
 	// Deregister removes the entry of another instance.
 	Deregister(ctx context.Context, name core.InstanceID) error
-	// Save writes an object that remains in the store when all instances have stopped. Load reads it; ok is false if
+	// Save fails with ErrChanged if another instance has written the object since the last call of Save or Load. Otherwise it
+	// writes an object that remains in the store when all instances have stopped. Load reads it; ok is false if
 	// there is none.
 	Save(ctx context.Context, name string, body []byte) error
 	Load(ctx context.Context, name string) (body []byte, ok bool, err error)
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
 	"monsoondale/core"
@@ -22,7 +23,7 @@
 
 // recordUsage writes the usage of workspaces to the store if a record is due and this instance is the first of those that
 // watch the store. Two instances that cannot reach each other may both write; either record contains what both used
-// before they lost contact.
+// before they lost contact. A write that the store executes late does not replace a newer record.
 func (g *Gateway) recordUsage(ctx context.Context, now time.Time) {
 	if now.Sub(g.lastRecordAttempt) < recordInterval || g.recording.Load() || g.leaving.Load() || g.table == nil || !g.table.RequiresKey() {
 		return
@@ -50,7 +51,11 @@
 	go func() {
 		defer g.wg.Done()
 		defer g.recording.Store(false)
-		if err := g.o.Store.Save(ctx, usageObjectName, b); err != nil && ctx.Err() == nil {
+		err := g.o.Store.Save(ctx, usageObjectName, b)
+		if errors.Is(err, ErrChanged) { // this instance has taken over from another one
+			err = g.o.Store.Save(ctx, usageObjectName, b)
+		}
+		if err != nil && ctx.Err() == nil {
 			g.log.Info("use not recorded", "cause", err.Error())
 		}
 	}()
