--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -146,9 +146,8 @@
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
 	candidateSlots := 0 // free slots of the candidates
-	unharmed := p.readsWithoutPause(now, t)
 	listed := false
-	exclude, outdated := p.excluded(&t.req), p.reportsOutdated()
+	exclude, outdated, avoidPauses := p.excluded(&t.req), p.reportsOutdated(), p.readsWithoutPause(now, t)
 	candidates := p.candidates[:0]
 	for _, e := range p.orderedEndpoints {
 		if slices.Contains(exclude, e.ID) {
@@ -157,12 +156,11 @@
 		if !e.leaving() {
 			listed = true
 		}
-		if !e.available(now) || unharmed && p.interrupts(now, e, &t.req) {
+		if !e.available(now) || avoidPauses && p.interrupts(now, e, &t.req) {
 			continue
 		}
 		c := candidate{endpointState: e, freeInReports: e.Slots - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
-		if outdated {
-			// The latencies of the last requests show how long others wait at the endpoint.
+		if outdated { // the score shows how long others wait there, by the latencies of the last requests
 			c.freeInReports, c.netReleased = max(e.Slots-e.ownRunning, 0), 0
 		}
 		if c.freeInReports <= 0 && c.freeInReports+c.netReleased <= 0 {
--- a/core/pool/stated.go
+++ b/core/pool/stated.go
@@ -25,11 +25,15 @@
 	mean   average
 }
 
-func (s *slowness) record(now time.Time, v float64) {
-	if v > 0 {
-		s.newest, s.at = v, now
-		s.mean.add(v, slownessWeight)
+// record records a value that was stated at a time; 0 is none. A report may bring an older one than the newest.
+func (s *slowness) record(at time.Time, v float64) {
+	if v <= 0 {
+		return
 	}
+	if !at.Before(s.at) {
+		s.newest, s.at = v, at
+	}
+	s.mean.add(v, slownessWeight)
 }
 
 // value returns how long work takes now relative to usual; 1 if the endpoint has not stated it.
