--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -426,6 +426,7 @@
 // Many instances have stale reports. Guards against all instances choosing the engines that looked best in the last
 // reports, which then reject requests while others have free slots.
 func TestManyInstancesWithStaleReports(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	r := simulate(4, largeCluster(), 6*time.Second,
 		workload{"draft", 0, 6600, 42, 400 * time.Millisecond, constant(200)},
@@ -442,6 +443,7 @@
 // Some engines break every request, in a large cluster where each instance sends few requests to each engine. Guards
 // against instances that do not share failures, so that each loses several requests to each broken engine.
 func TestManyInstancesWithBrokenEngines(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := largeCluster()
 	f.breaksRequests = func(engine int, s float64) bool { return engine%9 == 2 && s >= 2 && s < 4 }
@@ -462,6 +464,7 @@
 // The rate of requests triples in a large cluster. Guards against several instances that fill the same free slot: the
 // excess requests queue at the engines, where their order can no longer change, and all are late.
 func TestFloodInLargeCluster(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := largeCluster()
 	f.engineQueueLimit = 40
@@ -482,6 +485,7 @@
 // Requests are so short, at few engines in a large cluster, that slots are reused several times between two reports.
 // Guards against counting requests as running that have ended since the report.
 func TestShortRequestsInLargeCluster(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := largeCluster()
 	f.engines, f.slots, f.slowdowns = 4, 6, []float64{1}
