--- a/core/pool/fleet_test.go
+++ b/core/pool/fleet_test.go
@@ -83,3 +83,17 @@
 	t.Logf("longest queue at an engine %d, on time %d of %d served", s.longestQueue, ontime, served)
 	g.Expect(ratio(ontime, served)).To(BeNumerically(">=", 0.8))
 }
+
+// A few engines return while requests wait everywhere. Guards against more requests that wait at an engine than it has slots.
+func TestQueueAtReturningEngines(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := fleetCluster()
+	f.absentEngines, f.absentUntil = 5, 2*time.Second
+	s := run(11, f, 4*time.Second,
+		workload{"draft", 0, 6600, 50, 400 * time.Millisecond, constant(360)},
+		workload{"dedication", 1, 628, 40, 200 * time.Millisecond, constant(290)},
+		workload{"check", 2, 1800, 3, 250 * time.Millisecond, constant(780)},
+	)
+	g.Expect(s.longestQueue).To(BeNumerically("<=", f.slots))
+}
