io/proxy: log takeovers, and requests whose handler panics

Observability of the incident: a request that an instance took from its silent endpoint, and one whose handler failed, looked like a failure of the endpoint or left no line with its id. No logic changes.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -112,6 +112,8 @@
 		x.pool.Release(now, g, pool.Cancelled)
 		return a.ended
 	}
+	x.handler.o.Log.Info("takeover", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "next", g.Endpoint.ID, "begun", req.Begun,
+		"running", milliseconds(now.Sub(a.started)))
 	a.takeover = g
 	a.cancel(errNoResponse)
 	return true
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -238,6 +240,7 @@
 	if limit := h.keepAliveLimit.Load(); h.keepAlivesOff.Load() || limit > 0 && h.openConns.Load() > limit {
 		w.Header().Set("Connection", "close")
 	}
+	defer x.recordPanic()
 	result := x.serve()
 	if x.closeDelimited && !result.abort {
 		x.recordCause(peerconn.ConfirmEnd(ctx, w))
@@ -250,6 +253,20 @@
 	}
 }
 
+// recordPanic logs the request of a handler that panics, which the server of net/http does not name. The caller's connection is then
+// closed without a response.
+func (x *exchange) recordPanic() {
+	switch p := recover(); p {
+	case nil:
+	case http.ErrAbortHandler:
+		panic(p)
+	default:
+		x.handler.stats.panics.Inc(1)
+		x.handler.o.Log.Info("panic", "request", x.info.ID, "stage", x.stage, "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // delimitByClose makes the response end with the connection. It is called before the header is written.
 func (x *exchange) delimitByClose() {
 	x.closeDelimited = true
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -15,6 +15,7 @@
 type stats struct {
 	registry  metrics.Registry
 	retries   metrics.Counter
+	panics    metrics.Counter
 	queueTime metrics.Timer
 	firstByte metrics.Timer
 	total     metrics.Timer
@@ -24,6 +25,7 @@
 	return stats{
 		registry:  r,
 		retries:   metrics.GetOrRegisterCounter("request.repeated", r),
+		panics:    metrics.GetOrRegisterCounter("request.panics", r),
 		queueTime: metrics.GetOrRegisterTimer("request.wait", r),
 		firstByte: metrics.GetOrRegisterTimer("request.first", r),
 		total:     metrics.GetOrRegisterTimer("request.whole", r),
