io/proxy: a silent endpoint keeps its request until another one has responded

Callers saw streams without their rest, and 502, although their endpoint would have served them: after a pause of 1.2 s within a stream, or 0.65 s before a response, the attempt was cancelled as soon as another endpoint had a free slot. If that endpoint then answered 500, closed, began and closed, or was silent, the attempts of the route were used up.

Cause: a working endpoint was given up before its replacement had shown that it works.

The other endpoint is now asked as a standby. The first one keeps the request until the standby has sent an event, or a whole response; whichever is first serves it, and the other is cancelled. Two endpoints may work on a request for 250 ms, as the platform allows 400 ms. If neither has responded by then, the standby goes on, and a retry is reserved to return to the first endpoint, which is not another attempt of the route. Without that retry the first endpoint keeps the request. A stream that has begun is also continued after a 500 of an endpoint while attempts are left.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -150,7 +150,7 @@
 	exclude, outdated, avoidPauses := p.excluded(&t.req), p.reportsOutdated(), p.readsWithoutPause(now, t)
 	candidates := p.candidates[:0]
 	for _, e := range p.orderedEndpoints {
-		if slices.Contains(exclude, e.ID) {
+		if slices.Contains(exclude, e.ID) || !t.req.allows(e.ID) {
 			continue
 		}
 		if !e.leaving() {
@@ -269,8 +269,16 @@
 	return false
 }
 
+// allows reports whether Only allows an endpoint.
+func (r *Request) allows(id core.EndpointID) bool {
+	return len(r.Only) == 0 || slices.Contains(r.Only, id)
+}
+
 // excluded returns the endpoints to skip for a request: those that were tried, unless no other is left.
 func (p *Pool) excluded(req *Request) []core.EndpointID {
+	if len(req.Only) > 0 {
+		return nil
+	}
 	for _, e := range p.orderedEndpoints {
 		if !e.leaving() && !slices.Contains(req.Exclude, e.ID) {
 			return req.Exclude
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -47,6 +47,8 @@
 	Rank int
 	// Exclude lists endpoints that were already tried. They are chosen only if there is no other.
 	Exclude []core.EndpointID
+	// Only lists the endpoints of which one is to be chosen; empty for any. Exclude does not apply to them.
+	Only []core.EndpointID
 	// Retried marks a request that was already sent to another endpoint; its caller may be receiving the response.
 	Retried bool
 	// Begun marks a request whose caller is receiving the response, which can no longer be refused.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -309,3 +309,19 @@
 		})
 	}
 }
+
+// Guards against a request that returns to an endpoint other than those which it may run at again, tried or not.
+func TestOnly(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(endpoints(3, 1))
+	req := request(1, begin)
+	req.Exclude, req.Only = []core.EndpointID{"e02"}, []core.EndpointID{"e02"}
+	first := grant(g, p.Submit(begin, req))
+	g.Expect(first.Endpoint.ID).To(Equal(core.EndpointID("e02")))
+	waiting := p.Submit(begin, req)
+	g.Expect(decision(waiting)).To(BeNil(), "others have free slots")
+	p.Release(begin, first, pool.Served)
+	g.Expect(grant(g, waiting).Endpoint.ID).To(Equal(core.EndpointID("e02")))
+	req.Only = []core.EndpointID{"gone"}
+	g.Expect(decision(p.Submit(begin, req))).To(BeAssignableToTypeOf(pool.Refusal{}))
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"monsoondale/common/framing"
 	"monsoondale/common/peerconn"
+	"monsoondale/core"
 	"monsoondale/core/pool"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
@@ -25,17 +25,6 @@
 	// that arrives with the header.
 	maxDiscardedBytes = 16 << 10
 	discardTimeout    = 20 * time.Millisecond
-	// responseTimeoutFactor and minResponseTimeout determine how long to wait for a response to begin before another
-	// endpoint is tried: a multiple of the latency that the pool predicts, but at least about a third of the two seconds
-	// or more after which callers give up. With a minimum of 400 ms, endpoints that were only busy were treated as
-	// failed in every burst.
-	responseTimeoutFactor = 4
-	minResponseTimeout    = 650 * time.Millisecond
-	// streamSilenceTimeout is the time without a complete event, after the first bytes of a resumable stream, after which
-	// another endpoint continues it. Callers abandon a silent stream after two seconds or more.
-	streamSilenceTimeout = 1200 * time.Millisecond
-	// takeoverInterval is the time between two tries to find another endpoint for a request whose endpoint is silent.
-	takeoverInterval = 100 * time.Millisecond
 	// minTimeForRetry is the time left until the deadline below which a request is not retried.
 	minTimeForRetry = 20 * time.Millisecond
 )
@@ -56,145 +45,82 @@
 
 // attempt is one attempt to serve a request at one endpoint.
 type attempt struct {
-	x       *exchange
-	ctx     context.Context
-	grant   *pool.Grant
-	outcome pool.Outcome
-	resp    *endpoint.Response
-	info    ResponseInfo // of resp
-	started time.Time
-	cancel  context.CancelCauseFunc
-	// responseTimer runs until the response begins, unless the request may not be retried.
-	responseTimer takeoverTimer
-
-	mu       sync.Mutex
-	ended    bool
-	takeover *pool.Grant // of the endpoint that serves the request next
+	x        *exchange
+	parent   context.Context // of all attempts of the request
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	grant    *pool.Grant
+	after    string // id of the event after which a stream continues; empty for a new stream
+	revisit  bool   // the request was sent to this endpoint before
+	outcome  pool.Outcome
+	resp     *endpoint.Response
+	err      error        // why there is no response
+	info     ResponseInfo // of resp
+	known    int          // number of requests known to be at the endpoint when it stated its load
+	takeover takeover
+	standby  standbyState
 }
 
-// tryEndpoint sends the request to an endpoint and relays the response. It reports whether the request is to be retried
-// at another endpoint.
-func (x *exchange) tryEndpoint(ctx context.Context, g *pool.Grant) (r result, retry bool) {
-	x.endpointID = g.Endpoint.ID
-	x.tried = append(x.tried, g.Endpoint.ID)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	a := &attempt{x: x, ctx: ctx, grant: g, outcome: pool.Cancelled, started: time.Now(), cancel: cancel}
-	defer func() { a.end(retry) }()
-	if timeout := x.responseTimeout(g); timeout > 0 {
-		req := x.poolRequest()
-		req.Retried = true
-		a.responseTimer.start(timeout, func() bool {
-			// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so
-			// far. From then on only the deadline limits the wait for this response.
-			return x.pool.RespondedSince(g) || a.takeOver(req)
-		})
-		defer a.responseTimer.stop()
-	}
-	return a.send()
-}
-
-// takeOver cancels the attempt because its endpoint is silent, if another endpoint has a free slot for the request and a retry is
-// left in the budget. Without another endpoint, cancelling would only waste the work done so far. It returns false if it is to be
-// tried again.
-func (a *attempt) takeOver(req pool.Request) bool {
-	x, now := a.x, time.Now()
-	if req.Deadline.Sub(now) < minTimeForRetry {
-		return true
-	}
-	g := x.pool.Acquire(now, req)
-	if g == nil {
-		return false
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.ended || slices.Contains(req.Exclude, g.Endpoint.ID) || !x.handler.o.Budgets.TakeRetry(x.service) {
-		x.pool.Release(now, g, pool.Cancelled)
-		return a.ended
-	}
-	x.handler.o.Log.Info("takeover", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "next", g.Endpoint.ID, "begun", req.Begun,
-		"running", milliseconds(now.Sub(a.started)))
-	a.takeover = g
-	a.cancel(errNoResponse)
-	return true
+// newAttempt returns an attempt that has not begun. tried lists the endpoints of earlier attempts.
+func (x *exchange) newAttempt(ctx context.Context, g *pool.Grant, after string, tried []core.EndpointID) *attempt {
+	a := &attempt{x: x, parent: ctx, grant: g, after: after, revisit: slices.Contains(tried, g.Endpoint.ID), outcome: pool.Cancelled}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
 }
 
-// end releases the slot of the attempt. The slot that takeOver has acquired is kept for the retry.
-func (a *attempt) end(retry bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ended = true
-	x, now := a.x, time.Now()
-	x.pool.Release(now, a.grant, a.outcome)
-	switch {
-	case a.takeover == nil:
-	case retry:
-		x.takeover = a.takeover
-	default:
-		x.pool.Release(now, a.takeover, pool.Cancelled)
-	}
-}
-
-// takenOver reports whether another endpoint and a retry have been acquired for the request.
-func (a *attempt) takenOver() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.takeover != nil
-}
-
-// takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true.
-type takeoverTimer struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	stopped bool
-}
-
-func (t *takeoverTimer) start(d time.Duration, f func() bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.stopped {
-		return
+// run sends the request, unless the attempt did so as a standby, and relays the response. It reports whether the request is to be
+// retried.
+func (a *attempt) run() (r result, retry bool) {
+	x := a.x
+	x.endpointID = a.grant.Endpoint.ID
+	x.framing, x.unfinishedBytes = "", 0
+	defer func() {
+		x.standby = a.endTakeover(retry)
+		a.release(a.outcome)
+	}()
+	a.watchResponse()
+	x.tried = append(x.tried, a.grant.Endpoint.ID)
+	if a.standby.opened != nil {
+		x.stage = stageRun
+		<-a.standby.opened
+	} else {
+		x.stage = stageConnect
+		a.open(func() { x.stage = stageRun })
 	}
-	t.timer = time.AfterFunc(d, func() {
-		if !f() {
-			t.start(takeoverInterval, f)
-		}
-	})
+	return a.receive()
 }
 
-func (t *takeoverTimer) stop() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stopped = true
-	if t.timer != nil {
-		t.timer.Stop()
+// release frees what the attempt holds.
+func (a *attempt) release(o pool.Outcome) {
+	if a.resp != nil {
+		a.resp.Close()
 	}
+	a.cancel(nil)
+	a.x.handler.memory.used.Add(-a.standby.reserved)
+	a.x.pool.Release(time.Now(), a.grant, o)
 }
 
-// recordResponseStart stops the response timer and records the time to the first event.
-func (a *attempt) recordResponseStart() {
-	a.responseTimer.stop()
-	a.x.pool.RecordFirstEvent(time.Now(), a.grant)
-}
+// recordResponseStart records the time to the first event.
+func (a *attempt) recordResponseStart() { a.x.pool.RecordFirstEvent(time.Now(), a.grant) }
 
-// send sends the request and relays the response or decides about a retry.
-func (a *attempt) send() (result, bool) {
+// open sends the request and reads the header of the response. It does not change the exchange, as the attempt may be a standby.
+// beforeSend is called before the request is sent.
+func (a *attempt) open(beforeSend func()) {
 	x := a.x
-	forwardInfo := ForwardInfo{Endpoint: a.grant.Endpoint.ID, Timeout: time.Until(x.deadline), LastEventID: x.lastEventID}
+	forwardInfo := ForwardInfo{Endpoint: a.grant.Endpoint.ID, Timeout: time.Until(x.deadline), LastEventID: a.after}
 	if x.workspace != nil {
 		forwardInfo.Workspace = x.workspace.ID
 	}
 	if forwardInfo.Timeout < time.Millisecond {
-		return x.failOrRefuse("deadline", shortRetryAfter), false
+		a.err = &endpoint.NotSentError{Cause: errDeadline}
+		return
 	}
 	h := forwardHeader(x.r.Header)
 	x.handler.o.Headers.SetForwardHeaders(h, forwardInfo)
-	x.stage = stageConnect
-	x.framing, x.unfinishedBytes = "", 0
-	resp, err := x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
+	a.resp, a.err = x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
-		NewConnection: slices.Contains(x.tried[:len(x.tried)-1], a.grant.Endpoint.ID),
+		NewConnection: a.revisit,
 		OnHeader:      a.recordNotice,
 		BeforeSend: func() error {
 			if x.callerLeft() {
@@ -203,54 +129,82 @@
 			if !x.pool.Accepts(time.Now(), a.grant) {
 				return errEndpointClosed
 			}
-			x.stage = stageRun
+			beforeSend()
 			return nil
 		},
 	})
+}
+
+// sent reports whether the request may have reached the endpoint.
+func (a *attempt) sent() bool {
 	var unsent *endpoint.NotSentError
+	return !errors.As(a.err, &unsent)
+}
+
+// outcomeIfNotRun returns the outcome of an attempt at an endpoint that certainly did not run the request. ok is false if it may have
+// run.
+func (a *attempt) outcomeIfNotRun() (o pool.Outcome, reason string, ok bool) {
 	switch {
-	case errors.As(err, &unsent):
-		x.cause = err
-		switch {
-		case errors.Is(err, errEndpointClosed):
-			return x.handleNotRun(a.ctx, "endpoint leaves or waits")
-		case a.ctx.Err() == nil && !errors.Is(err, peerconn.ErrClosed):
-			a.outcome = pool.Unreachable
-		}
-		return x.handleNotRun(a.ctx, "endpoint unreachable")
-	case err != nil:
-		x.sends++
-		x.possibleRuns++
-		return a.handleFailedAttempt(err)
+	case !a.sent() && errors.Is(a.err, errEndpointClosed):
+		return pool.Cancelled, "endpoint leaves or waits", true
+	case !a.sent() && (a.ctx.Err() != nil || errors.Is(a.err, peerconn.ErrClosed) || errors.Is(a.err, errDeadline)):
+		return pool.Cancelled, "endpoint unreachable", true
+	case !a.sent():
+		return pool.Unreachable, "endpoint unreachable", true
+	case a.err != nil:
+		return 0, "", false
+	case a.info.Misdirected:
+		return pool.Moved, "endpoint moved", true
+	case a.info.NotRun && a.info.Notice.Wait > 0:
+		return pool.Deferred, "endpoint rejected the request", true
+	case a.info.NotRun:
+		return pool.Rejected, "endpoint rejected the request", true
 	}
-	defer resp.Close()
-	a.resp = resp
-	x.sends++
-	x.recordFraming(resp.Framing)
-	responseInfo := a.info
+	return 0, "", false
+}
+
+// failure returns why the request may have run and its response is not relayed, or nil.
+func (a *attempt) failure() error {
 	switch {
-	case responseInfo.Misdirected:
-		a.outcome = pool.Moved
-		a.discardBody()
-		return x.handleNotRun(a.ctx, "endpoint moved")
-	case responseInfo.NotRun:
-		a.outcome = pool.Rejected
-		if responseInfo.Notice.Wait > 0 {
-			a.outcome = pool.Deferred
+	case a.err != nil:
+		return a.err
+	case a.succeeded() && !a.info.Signed:
+		return errUnsigned
+	case promisesNotRun(a.resp.StatusCode):
+		return errUnprovenRefusal
+	case a.resp.Header.Get("Content-Encoding") != "":
+		return errUnexpectedEncoding
+	}
+	return nil
+}
+
+// succeeded reports whether the status of the response is that of a success.
+func (a *attempt) succeeded() bool { return a.resp.StatusCode < 300 }
+
+// receive relays the response or decides about a retry.
+func (a *attempt) receive() (result, bool) {
+	x := a.x
+	if a.sent() {
+		x.sends++
+	}
+	if a.resp != nil {
+		x.recordFraming(a.resp.Framing)
+		x.statedLoad, x.knownLoad = a.info.Load, a.known
+	}
+	if o, reason, ok := a.outcomeIfNotRun(); ok {
+		a.outcome = o
+		if a.resp != nil {
+			a.discardBody()
+		} else {
+			x.cause = a.err
 		}
-		a.discardBody()
-		return x.handleNotRun(a.ctx, "endpoint rejected the request")
+		return a.handleNotRun(reason)
 	}
-	x.possibleRuns++
-	success := resp.StatusCode < 300
-	switch {
-	case success && !responseInfo.Signed:
-		return a.handleFailedAttempt(errUnsigned)
-	case promisesNotRun(resp.StatusCode):
-		return a.handleFailedAttempt(errUnprovenRefusal)
-	case resp.Header.Get("Content-Encoding") != "":
-		return a.handleFailedAttempt(errUnexpectedEncoding)
-	case x.route.Kind == route.Stream && success:
+	x.recordRun(a.grant.Endpoint.ID)
+	switch err := a.failure(); {
+	case err != nil:
+		return a.handleFailedAttempt(err)
+	case x.route.Kind == route.Stream && a.succeeded():
 		return a.relayStream()
 	default:
 		return a.relayBuffered()
@@ -262,8 +216,7 @@
 func (a *attempt) recordNotice(r *http.Response, matched bool) {
 	info := a.x.handler.o.Headers.ParseResponse(r)
 	if matched {
-		a.info = info
-		a.x.statedLoad, a.x.knownLoad = info.Load, a.x.pool.RecordLoad(time.Now(), a.grant, info.Load)
+		a.info, a.known = info, a.x.pool.RecordLoad(time.Now(), a.grant, info.Load)
 	} else {
 		info.Notice = pool.Notice{Leaving: info.Notice.Leaving}
 	}
@@ -279,15 +232,6 @@
 	return false
 }
 
-// responseTimeout returns how long to wait for a response to begin before another endpoint is tried. It returns 0 if the
-// request may not be retried.
-func (x *exchange) responseTimeout(g *pool.Grant) time.Duration {
-	if !x.route.Retryable() || x.possibleRuns+1 >= x.route.Attempts {
-		return 0
-	}
-	return max(responseTimeoutFactor*g.ExpectedLatency, minResponseTimeout)
-}
-
 // discardBody reads a response that is not relayed, so that its connection can be reused. It gives up if the body is long
 // or late, because another endpoint can serve the request.
 func (a *attempt) discardBody() {
@@ -298,14 +242,16 @@
 }
 
 // handleNotRun decides whether a request that an endpoint did not run is sent to another one.
-func (x *exchange) handleNotRun(ctx context.Context, reason string) (result, bool) {
+func (a *attempt) handleNotRun(reason string) (result, bool) {
+	x := a.x
 	switch {
 	case x.callerLeft():
 		return x.endForCallerLeft(), false
 	// The context has ended at the deadline, unless the response timer cancelled it.
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errNoResponse), time.Until(x.deadline) < minTimeForRetry:
+	case a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errNoResponse), time.Until(x.deadline) < minTimeForRetry:
 		return x.failOrRefuse("deadline", shortRetryAfter), false
-	case x.sends > 0 && !x.handler.o.Budgets.TakeRetry(x.service):
+	case a.claimStandby():
+	case x.sends > 0 && !a.takeRetry():
 		return x.failOrRefuse(reason+", repeats exhausted", rejectedRetryAfter), false
 	case len(x.tried) > maxTriedEndpoints:
 		return x.failOrRefuse(reason, rejectedRetryAfter), false
@@ -344,14 +290,18 @@
 	if errors.Is(err, errUnknownEnd) { // not known to be the endpoint's fault
 		a.outcome = pool.Served
 	}
+	if errors.Is(err, errNoResponse) {
+		x.givenUp = append(x.givenUp, a.grant.Endpoint.ID)
+	}
 	switch {
 	case !x.route.Retryable(), x.notResumable:
 		return x.respondError(http.StatusBadGateway, "endpoint failed"), false
-	case x.possibleRuns >= x.route.Attempts:
-		return x.respondError(http.StatusBadGateway, "endpoint failed, attempts exhausted"), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.respondError(http.StatusGatewayTimeout, "deadline"), false
-	case !a.takenOver() && !x.handler.o.Budgets.TakeRetry(x.service):
+	case a.claimStandby():
+	case !x.mayRunAgain():
+		return x.respondError(http.StatusBadGateway, "endpoint failed, attempts exhausted"), false
+	case !a.takeRetry():
 		return x.respondError(http.StatusBadGateway, "endpoint failed, repeats exhausted"), false
 	}
 	return result{reason: "endpoint failed"}, true
@@ -360,6 +310,10 @@
 // relayBuffered relays a response once it is complete.
 func (a *attempt) relayBuffered() (result, bool) {
 	x, resp := a.x, a.resp
+	failed := resp.StatusCode >= http.StatusInternalServerError
+	if !failed && !a.keepsRequest() {
+		return a.handleFailedAttempt(errNoResponse)
+	}
 	a.recordResponseStart()
 	b, err := x.readBuffered(resp.Body, resp.ContentLength, maxBufferedBytes)
 	if err != nil {
@@ -367,16 +321,18 @@
 	}
 	resp.MarkBodyRead()
 	a.outcome = pool.Served
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if failed {
 		a.outcome = pool.ServerError
 	}
-	if x.headerWritten {
-		return result{status: resp.StatusCode, reason: "endpoint would not continue", abort: true}, false
-	}
 	w := &bufferedResponse{status: resp.StatusCode, header: resp.Header, framing: resp.Framing, body: b}
-	if a.outcome == pool.ServerError && a.takeServerErrorRetry() {
-		x.fallback = w
+	switch {
+	case failed && a.takeServerErrorRetry():
+		if !x.headerWritten {
+			x.fallback = w
+		}
 		return result{reason: "endpoint answered " + strconv.Itoa(resp.StatusCode)}, true
+	case x.headerWritten:
+		return result{status: resp.StatusCode, reason: "endpoint would not continue", abort: true}, false
 	}
 	return x.writeResponse(w, "served"), false
 }
@@ -393,8 +349,10 @@
 // and takes the retry from the budget if so.
 func (a *attempt) takeServerErrorRetry() bool {
 	x := a.x
-	return x.route.Retryable() && x.possibleRuns < x.route.Attempts && a.ctx.Err() == nil &&
-		time.Until(x.deadline) > max(a.grant.ExpectedLatency, minTimeForRetry) && x.handler.o.Budgets.TakeRetry(x.service)
+	if time.Until(x.deadline) <= max(a.grant.ExpectedLatency, minTimeForRetry) {
+		return false
+	}
+	return a.claimStandby() || a.ctx.Err() == nil && x.mayRunAgain() && a.takeRetry()
 }
 
 // writeResponse writes a complete response to the caller.
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -194,7 +194,8 @@
 	sends           int               // number of times the request was sent to an endpoint
 	possibleRuns    int               // number of endpoints that may have run it
 	tried           []core.EndpointID // endpoints to avoid in further attempts
-	takeover        *pool.Grant       // acquired for the next attempt; may be nil
+	givenUp         []core.EndpointID // endpoints that were silent when others took the request over; it may return there
+	standby         *attempt          // has taken the request over; may be nil
 	headerWritten   bool              // the header of the response has been written
 	begunStatus     int               // status of a stream that has begun
 	closeDelimited  bool              // the response ends with the connection, which is reset unless it is complete
@@ -443,16 +444,16 @@
 	ctx, cancel := context.WithDeadlineCause(x.workContext(), x.deadline, errDeadline)
 	defer cancel()
 	for {
-		g, r := x.acquireEndpoint(ctx)
-		if g == nil {
+		a, r := x.nextAttempt(ctx)
+		if a == nil {
 			return r
 		}
-		r, retry := x.tryEndpoint(ctx, g)
+		r, retry := a.run()
 		if !retry {
 			return r
 		}
 		x.handler.stats.retries.Inc(1)
-		x.handler.o.Log.Info("repeat", "request", x.info.ID, "route", x.route.Name, "endpoint", g.Endpoint.ID, "reason", r.reason,
+		x.handler.o.Log.Info("repeat", "request", x.info.ID, "route", x.route.Name, "endpoint", a.grant.Endpoint.ID, "reason", r.reason,
 			"cause", errorText(x.cause), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes)
 	}
 }
@@ -469,18 +470,24 @@
 	return x.r.Context()
 }
 
+// nextAttempt returns the attempt that has taken the request over, or waits until the pool grants an endpoint for another one. The
+// attempt is nil if the request has ended.
+func (x *exchange) nextAttempt(ctx context.Context) (*attempt, result) {
+	if a := x.standby; a != nil {
+		x.standby = nil
+		x.recordGrant(a.grant)
+		return a, result{}
+	}
+	g, r := x.acquireEndpoint(ctx)
+	if g == nil {
+		return nil, r
+	}
+	return x.newAttempt(ctx, g, x.lastEventID, x.tried), result{}
+}
+
 // acquireEndpoint waits until the pool grants an endpoint. The grant is nil if the request has ended.
 func (x *exchange) acquireEndpoint(ctx context.Context) (*pool.Grant, result) {
-	g := x.takeover
-	x.takeover = nil
-	switch left := x.r.Context().Err() != nil; {
-	case g != nil && !left:
-		x.recordGrant(g)
-		return g, result{}
-	case g != nil:
-		x.pool.Release(time.Now(), g, pool.Cancelled)
-		return nil, x.endForCallerLeft()
-	case left:
+	if x.r.Context().Err() != nil {
 		return nil, x.endForCallerLeft()
 	}
 	x.stage = stageQueue
@@ -516,11 +523,29 @@
 
 // poolRequest returns the request as the pool sees it.
 func (x *exchange) poolRequest() pool.Request {
-	return pool.Request{
+	req := pool.Request{
 		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
 		Rank: int(x.route.Tier), Objective: x.objective, GapObjective: x.route.GapObjective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
 		Retried: x.sends > 0, Begun: x.headerWritten,
 	}
+	if x.possibleRuns >= x.route.Attempts {
+		req.Only = slices.Clone(x.givenUp)
+	}
+	return req
+}
+
+// mayRunAgain reports whether the attempts of the route, or an endpoint that was given up, allow another run.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.Retryable() && !x.notResumable && (x.possibleRuns < x.route.Attempts || len(x.givenUp) > 0)
+}
+
+// recordRun counts a possible run at an endpoint. A return to an endpoint that was given up is not another attempt.
+func (x *exchange) recordRun(id core.EndpointID) {
+	if i := slices.Index(x.givenUp, id); i >= 0 {
+		x.givenUp = slices.Delete(x.givenUp, i, i+1)
+		return
+	}
+	x.possibleRuns++
 }
 
 // recordGrant keeps what a grant was based on for the log.
--- a/io/proxy/memory.go
+++ b/io/proxy/memory.go
@@ -25,15 +25,22 @@
 	used  atomic.Int64
 }
 
+// reserve reserves n bytes, or returns false if they exceed a share of the limit.
+func (m *bodyMemory) reserve(n int, share float64) bool {
+	if m.used.Add(int64(n)) > int64(share*float64(m.limit)) && m.limit > 0 {
+		m.used.Add(-int64(n))
+		return false
+	}
+	return true
+}
+
 // reserve reserves n bytes of buffers until the request ends, or returns false if they exceed the limit.
 func (x *exchange) reserve(n int) bool {
-	m := &x.handler.memory
-	limit := m.limit
+	share := 1.0
 	if x.stage == stageArrival {
-		limit = int64(requestShare * float64(limit))
+		share = requestShare
 	}
-	if m.used.Add(int64(n)) > limit && m.limit > 0 {
-		m.used.Add(-int64(n))
+	if !x.handler.memory.reserve(n, share) {
 		return false
 	}
 	x.reserved += int64(n)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -36,8 +36,6 @@
 		lastRead  time.Time
 		endErr    error // why the stream ended; io.EOF if it is complete
 	)
-	stopSilenceTimer := func() {}
-	defer func() { stopSilenceTimer() }()
 	defer func() {
 		if numbered > 1 {
 			x.pool.RecordEvents(a.grant, numbered-1, lastRead.Sub(firstRead))
@@ -56,7 +54,7 @@
 			if firstRead.IsZero() {
 				firstRead = lastRead
 				a.recordResponseStart()
-				stopSilenceTimer = a.startSilenceTimer()
+				a.watchSilence()
 			}
 		}
 		events, scanErr := scanEvents(buf, x.lastEventID, continued)
@@ -70,6 +68,9 @@
 			}
 		}
 		if completeLen > 0 {
+			if !a.keepsRequest() {
+				return a.handleFailedAttempt(errNoResponse)
+			}
 			if writeErr := a.writeEvents(buf[:completeLen]); writeErr != nil {
 				x.cause = writeErr
 				return x.endForCallerLeft(), false
@@ -77,8 +78,7 @@
 			x.lastEventID = events.lastID
 			x.notResumable = x.notResumable || events.unnumbered > 0
 			// Bytes that complete no event are no progress.
-			stopSilenceTimer()
-			stopSilenceTimer = a.startSilenceTimer()
+			a.watchSilence()
 			buf = append(buf[:0], buf[completeLen:]...)
 		}
 		if scanErr != nil {
@@ -88,6 +88,9 @@
 			endErr = errTooLarge
 		}
 	}
+	if endErr == io.EOF && !a.keepsRequest() {
+		endErr = errNoResponse
+	}
 	if endErr != io.EOF {
 		return a.handleFailedAttempt(endErr)
 	}
@@ -102,20 +105,6 @@
 	return result{status: resp.StatusCode, reason: "served"}, false
 }
 
-// startSilenceTimer starts a timer that lets another endpoint continue the stream after streamSilenceTimeout. It does nothing if
-// no other endpoint may: a slow stream is better than a broken one, and its deadline ends it. The result stops the timer.
-func (a *attempt) startSilenceTimer() func() {
-	x := a.x
-	if !x.route.Resumable || x.notResumable || x.possibleRuns >= x.route.Attempts {
-		return func() {}
-	}
-	req := x.poolRequest()
-	req.Retried, req.Begun, req.Deadline = true, true, x.deadline
-	t := &takeoverTimer{}
-	t.start(streamSilenceTimeout, func() bool { return a.takeOver(req) })
-	return t.stop
-}
-
 // checkEnd returns io.EOF if the end of the endpoint's response is the end of the stream, or else why it is not. rest is
 // what followed the last complete event.
 func (a *attempt) checkEnd(rest []byte, hasEvents bool) error {
--- /dev/null
+++ b/io/proxy/takeover.go
@@ -0,0 +1,411 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"monsoondale/common/framing"
+	"monsoondale/core"
+	"monsoondale/core/pool"
+	"monsoondale/core/route"
+)
+
+const (
+	// responseTimeoutFactor and minResponseTimeout determine how long to wait for a response to begin before another
+	// endpoint is tried: a multiple of the latency that the pool predicts, but at least about a third of the two seconds
+	// or more after which callers give up. With a minimum of 400 ms, endpoints that were only busy were treated as
+	// failed in every burst.
+	responseTimeoutFactor = 4
+	minResponseTimeout    = 650 * time.Millisecond
+	// streamSilenceTimeout is the time without a complete event, after the first bytes of a resumable stream, after which
+	// another endpoint is asked to continue it. Callers abandon a silent stream after two seconds or more.
+	streamSilenceTimeout = 1200 * time.Millisecond
+	// takeoverInterval is the time between two tries to find another endpoint for a request whose endpoint is silent.
+	takeoverInterval = 100 * time.Millisecond
+	// maxOverlap is how long two endpoints may work on a request. The platform allows 400 ms, and an endpoint learns late
+	// that its request was cancelled.
+	maxOverlap = 250 * time.Millisecond
+	// maxPrefetchBytes is the size of the largest part of a response that a standby reads before it has the request.
+	maxPrefetchBytes = maxEventBytes
+)
+
+// errSuperseded is the cause of contexts of standbys that are not needed any more.
+var errSuperseded = errors.New("the first endpoint has responded")
+
+// takeover lets another endpoint, the standby, serve the request of an attempt whose endpoint is silent. A silent endpoint may still
+// be sound, and the standby may fail. So the endpoint keeps the request until the standby has responded, or until both
+// have worked on it for maxOverlap; in the second case the request may return to it.
+type takeover struct {
+	mu       sync.Mutex
+	timer    *takeoverTimer
+	standby  *attempt   // may take the request over; nil if there is none
+	taken    bool       // standby has the request, and the attempt is cancelled
+	ended    bool       // no standby may start
+	standbys []*attempt // all that were started
+}
+
+// standbyState is the state of an attempt that began as a standby.
+type standbyState struct {
+	opened     chan struct{} // closed when the standby has responded or failed; nil for other attempts
+	reserved   int64         // bytes of buffers
+	returnPaid bool          // a retry for the return to the first endpoint has been taken from the budget
+	notRun     bool          // it has ended, and the endpoint did not run the request
+}
+
+// standbyPlan is what a standby is chosen by: a copy of the state of the exchange, which goes on.
+type standbyPlan struct {
+	req         pool.Request
+	runs        int // possible runs, that of the attempt included
+	givenUp     []core.EndpointID
+	after       string // id of the last event relayed
+	status      int    // of the response that has begun; 0 if none has
+	contentType string // of the response that has begun
+}
+
+// watchResponse lets a standby start unless the response begins in time. The attempt has not been counted as a run yet.
+func (a *attempt) watchResponse() {
+	p := a.newPlan()
+	if i := slices.Index(p.givenUp, a.grant.Endpoint.ID); i >= 0 {
+		p.givenUp = slices.Delete(p.givenUp, i, i+1)
+	} else {
+		p.runs++
+	}
+	a.watch(p, max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout), func() bool {
+		// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so far. From
+		// then on only the deadline limits the wait for this response.
+		return a.x.pool.RespondedSince(a.grant) || a.tryStandby(p)
+	})
+}
+
+// watchSilence lets a standby start unless the next event arrives in time.
+func (a *attempt) watchSilence() {
+	p := a.newPlan()
+	a.watch(p, streamSilenceTimeout, func() bool { return a.tryStandby(p) })
+}
+
+func (a *attempt) newPlan() *standbyPlan {
+	x := a.x
+	p := &standbyPlan{req: x.poolRequest(), runs: x.possibleRuns, givenUp: slices.Clone(x.givenUp), after: x.lastEventID}
+	p.req.Retried = true
+	if self := a.grant.Endpoint.ID; !slices.Contains(p.req.Exclude, self) {
+		p.req.Exclude = append(p.req.Exclude, self)
+	}
+	if x.headerWritten {
+		p.status, p.contentType = x.begunStatus, x.w.Header().Get("Content-Type")
+	}
+	return p
+}
+
+// watch calls f after d, and then every takeoverInterval until it returns true. It replaces the function of an earlier call. Without
+// an endpoint at which the request may run, it does nothing: a slow response is better than none, and its deadline ends it.
+func (a *attempt) watch(p *standbyPlan, d time.Duration, f func() bool) {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer.stop()
+	t.timer = nil
+	if !x.route.Retryable() || x.notResumable || len(x.tried) > maxTriedEndpoints || !p.mayRunElsewhere(x.route) {
+		return
+	}
+	t.timer = &takeoverTimer{}
+	t.timer.start(d, f)
+}
+
+// mayRunElsewhere reports whether the request may run at another endpoint while the attempt is in progress.
+func (p *standbyPlan) mayRunElsewhere(r *route.Route) bool {
+	return p.runs < r.Attempts || len(p.givenUp) > 0
+}
+
+// tryStandby starts a standby if another endpoint has a free slot and a retry is left in the budget, and waits until it has
+// responded or failed. It returns false if it is to be called again.
+func (a *attempt) tryStandby(p *standbyPlan) bool {
+	x, now := a.x, time.Now()
+	p = a.withStandbys(p)
+	if p.req.Deadline.Sub(now) < minTimeForRetry || !p.mayRunElsewhere(x.route) {
+		return true
+	}
+	p.req.Only = nil
+	if p.runs >= x.route.Attempts {
+		p.req.Only = p.givenUp
+	}
+	g := x.pool.Acquire(now, p.req)
+	if g == nil {
+		return false
+	}
+	b := a.newStandby(p, g)
+	if b == nil {
+		x.pool.Release(now, g, pool.Cancelled)
+		return false
+	}
+	overlap := time.AfterFunc(maxOverlap, func() { a.endOverlap(b) })
+	defer overlap.Stop()
+	b.open(func() {})
+	o, err := b.prove(p)
+	return a.settle(b, o, err)
+}
+
+// withStandbys returns a copy of a plan that takes account of the standbys that have been started.
+func (a *attempt) withStandbys(p *standbyPlan) *standbyPlan {
+	t := &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := *p
+	c.req.Exclude, c.givenUp = slices.Clone(p.req.Exclude), slices.Clone(p.givenUp)
+	for _, b := range t.standbys {
+		id := b.grant.Endpoint.ID
+		c.req.Exclude = append(c.req.Exclude, id)
+		switch i := slices.Index(c.givenUp, id); {
+		case b.standby.notRun:
+		case i >= 0:
+			c.givenUp = slices.Delete(c.givenUp, i, i+1)
+		default:
+			c.runs++
+		}
+	}
+	return &c
+}
+
+// newStandby registers a standby, or returns nil if none may start now.
+func (a *attempt) newStandby(p *standbyPlan, g *pool.Grant) *attempt {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended || t.taken || t.standby != nil || len(p.req.Only) == 0 && slices.Contains(p.req.Exclude, g.Endpoint.ID) || !a.takeRetry() {
+		return nil
+	}
+	b := x.newAttempt(a.parent, g, p.after, p.req.Exclude)
+	b.standby.opened = make(chan struct{})
+	t.standby, t.standbys = b, append(t.standbys, b)
+	x.handler.o.Log.Info("standby", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "standby", g.Endpoint.ID, "after", p.after,
+		"expected", milliseconds(g.ExpectedLatency))
+	return b
+}
+
+// takeRetry takes a retry from the budget, unless one has been taken before for the return to the first endpoint.
+func (a *attempt) takeRetry() bool {
+	if a.standby.returnPaid {
+		a.standby.returnPaid = false
+		return true
+	}
+	return a.x.handler.o.Budgets.TakeRetry(a.x.service)
+}
+
+// endOverlap gives the request to a standby that has not responded yet, if a retry is left to return, or else cancels the standby.
+func (a *attempt) endOverlap(b *attempt) {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.standby != b || t.taken || t.ended {
+		return
+	}
+	if b.standby.returnPaid = x.handler.o.Budgets.TakeRetry(x.service); !b.standby.returnPaid {
+		t.standby = nil
+		b.cancel(errSuperseded)
+		return
+	}
+	a.handOver(false)
+}
+
+// handOver cancels the attempt in favour of its standby. responded reports whether the standby has responded. The caller holds
+// takeover.mu.
+func (a *attempt) handOver(responded bool) {
+	x, t := a.x, &a.takeover
+	x.handler.o.Log.Info("takeover", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "next", t.standby.grant.Endpoint.ID,
+		"responded", responded)
+	t.taken = true
+	a.cancel(errNoResponse)
+}
+
+// settle gives the request to a standby that has responded, or ends the standby. It returns false if another one is to be tried.
+func (a *attempt) settle(b *attempt, o pool.Outcome, err error) bool {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer close(b.standby.opened)
+	switch {
+	case t.standby == b && t.taken:
+		return true
+	case t.standby == b && err == nil:
+		a.handOver(true)
+		return true
+	case t.standby == b:
+		t.standby = nil
+	default:
+		o = pool.Cancelled
+	}
+	b.standby.notRun = !b.mayHaveRun()
+	b.release(o)
+	x.handler.o.Log.Info("standby ended", "request", x.info.ID, "standby", b.grant.Endpoint.ID, "outcome", o.String(), "cause", errorText(err))
+	return false
+}
+
+// mayHaveRun reports whether the endpoint may have run the request.
+func (a *attempt) mayHaveRun() bool {
+	_, _, notRun := a.outcomeIfNotRun()
+	return !notRun
+}
+
+// prove reads the beginning of a standby's response until it shows that the endpoint serves the request: the first event of a
+// stream, or the whole of another response.
+func (a *attempt) prove(p *standbyPlan) (pool.Outcome, error) {
+	if o, reason, ok := a.outcomeIfNotRun(); ok {
+		return o, errors.New(reason)
+	}
+	if err := a.failure(); err != nil {
+		return pool.Broken, err
+	}
+	if a.resp.StatusCode >= 500 {
+		return pool.ServerError, errors.Errorf("status %d", a.resp.StatusCode)
+	}
+	begun := p.status != 0
+	if begun && (a.resp.StatusCode != p.status || a.resp.Header.Get("Content-Type") != p.contentType) {
+		return pool.Broken, errOtherContent
+	}
+	if err := a.prefetch(begun); err != nil {
+		return pool.Broken, err
+	}
+	return pool.Served, nil
+}
+
+// prefetch reads the beginning of the response as far as prove needs it.
+func (a *attempt) prefetch(begun bool) error {
+	stream := a.x.route.Kind == route.Stream && a.succeeded()
+	var buf []byte
+	for end, proven := false, false; !proven && !end && len(buf) < maxPrefetchBytes; {
+		if len(buf) == cap(buf) {
+			size := max(2*cap(buf), streamBufferBytes)
+			if !a.x.handler.memory.reserve(size, 1) {
+				return errBodyMemory
+			}
+			a.standby.reserved += int64(size)
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := a.resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err != nil && err != io.EOF {
+			return err
+		}
+		end = err == io.EOF
+		if !stream {
+			continue
+		}
+		events, err := scanEvents(buf, a.after, begun)
+		if err != nil {
+			return err
+		}
+		proven = events.numbered+events.unnumbered > 0
+		if end && !proven && (a.resp.Framing == framing.Close || !isComment(buf)) {
+			return errNoEvents
+		}
+	}
+	a.resp.Body = prefetchedBody{io.MultiReader(bytes.NewReader(buf), a.resp.Body), a.resp.Body}
+	return nil
+}
+
+// prefetchedBody is a body of which a part has been read.
+type prefetchedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// keepsRequest is called before a part of the response is relayed. It cancels the standby, or returns false if the standby has the
+// request.
+func (a *attempt) keepsRequest() bool {
+	t := &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.taken {
+		return false
+	}
+	t.timer.stop()
+	if t.standby != nil {
+		t.standby.cancel(errSuperseded)
+		t.standby = nil
+	}
+	return true
+}
+
+// claimStandby gives the request to the standby, and reports whether there is one. If not, none will be started.
+func (a *attempt) claimStandby() bool {
+	t := &a.takeover
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+	t.taken = t.taken || t.standby != nil
+	return t.taken
+}
+
+// endTakeover returns the standby if it has the request and the request is to be retried. It ends all others, and counts what
+// they did.
+func (a *attempt) endTakeover(retry bool) *attempt {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	t.ended = true
+	t.timer.stop()
+	next := t.standby
+	if next != nil && !(t.taken && retry) {
+		next.cancel(errSuperseded)
+		if !t.taken {
+			t.standby = nil // ended by settle
+		}
+	}
+	t.mu.Unlock()
+	for _, b := range t.standbys {
+		if b == next && t.taken && retry {
+			continue
+		}
+		<-b.standby.opened
+		if b == next && t.taken {
+			b.release(pool.Cancelled)
+		}
+		x.tried = append(x.tried, b.grant.Endpoint.ID)
+		if b.sent() {
+			x.sends++
+		}
+		if b.mayHaveRun() {
+			x.recordRun(b.grant.Endpoint.ID)
+		}
+	}
+	if t.taken && retry {
+		return next
+	}
+	return nil
+}
+
+// takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true.
+type takeoverTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (t *takeoverTimer) start(d time.Duration, f func() bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	t.timer = time.AfterFunc(d, func() {
+		if !f() {
+			t.start(takeoverInterval, f)
+		}
+	})
+}
+
+// stop stops the timer; it may be nil.
+func (t *takeoverTimer) stop() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
