io/proxy: free the memory of bodies when a handler panics

The bytes reserved for the body of such a request counted against the limit of all bodies for good. TestPanic failed before: 5 bytes stayed reserved.

--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -242,11 +242,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.recordPanic()
+	defer func() { h.memory.used.Add(-x.reserved) }()
 	result := x.serve()
 	if x.closeDelimited && !result.abort {
 		x.recordCause(peerconn.ConfirmEnd(ctx, w))
 	}
-	h.memory.used.Add(-x.reserved)
 	x.recordRequest(result)
 	if result.abort {
 		// Closes the connection, so that the caller notices that the response is incomplete.
