io/proxy: standbys count as attempts before the next one is decided

What is seen: with max_attempts 2, requests ran at three endpoints (TestStandbysCountAsAttempts: a standby fails and then the first endpoint, the first endpoint goes on after the standby has begun and then breaks, or answers 500). And a request that a standby had run was answered 503 with Retry-After, which promises that it did not run, and its quota was returned (TestNoRefusalAfterStandbyRan).

Cause: standbys were added to the runs at the end of the attempt, after handleFailedAttempt and handleNotRun had decided about the next one with the count of before. With the runs used up and no endpoint given up, Only was then empty, which allows any endpoint.

Standbys are now ended and counted when the decision is made. The endpoint of a standby that was cancelled because the first endpoint went on has not failed and has been counted: the request may return there.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -246,9 +246,11 @@
 	x := a.x
 	switch {
 	case x.callerLeft():
+		a.endTakeover(false)
 		return x.endForCallerLeft(), false
 	// The context has ended at the deadline, unless the response timer cancelled it.
 	case a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errNoResponse), time.Until(x.deadline) < minTimeForRetry:
+		a.endTakeover(false)
 		return x.failOrRefuse("deadline", shortRetryAfter), false
 	case a.claimStandby():
 	case x.sends > 0 && !a.takeRetry():
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"slices"
 	"sync"
@@ -34,8 +35,12 @@
 	maxPrefetchBytes = maxEventBytes
 )
 
-// errSuperseded is the cause of contexts of standbys that are not needed any more.
-var errSuperseded = errors.New("the first endpoint has responded")
+var (
+	// errSuperseded is the cause of contexts of standbys that are not needed any more.
+	errSuperseded = errors.New("the first endpoint has responded")
+	// errOverlapEnded is the cause of contexts of standbys that were silent for maxOverlap and did not get the request.
+	errOverlapEnded = errors.New("no response during the overlap")
+)
 
 // takeover lets another endpoint, the standby, serve the request of an attempt whose endpoint is silent. A silent endpoint may still
 // be sound, and the standby may fail. So the endpoint keeps the request until the standby has responded, or until both
@@ -161,6 +166,11 @@
 		c.req.Exclude = append(c.req.Exclude, id)
 		switch i := slices.Index(c.givenUp, id); {
 		case b.standby.notRun:
+		case b.wasCancelledFor(errSuperseded):
+			if i < 0 {
+				c.runs++
+				c.givenUp = append(c.givenUp, id)
+			}
 		case i >= 0:
 			c.givenUp = slices.Delete(c.givenUp, i, i+1)
 		default:
@@ -205,7 +215,7 @@
 	}
 	if b.standby.returnPaid = x.handler.o.Budgets.TakeRetry(x.service); !b.standby.returnPaid {
 		t.standby = nil
-		b.cancel(errSuperseded)
+		b.cancel(errOverlapEnded)
 		return
 	}
 	a.handOver(false)
@@ -330,53 +340,78 @@
 	return true
 }
 
-// claimStandby gives the request to the standby, and reports whether there is one. If not, none will be started.
+// claimStandby gives the request to the standby, and reports whether there is one. If not, none will be started. It counts what the
+// other standbys did.
 func (a *attempt) claimStandby() bool {
 	t := &a.takeover
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.ended = true
 	t.taken = t.taken || t.standby != nil
+	t.mu.Unlock()
+	a.countStandbys(t.taken)
 	return t.taken
 }
 
 // endTakeover returns the standby if it has the request and the request is to be retried. It ends all others, and counts what
 // they did.
 func (a *attempt) endTakeover(retry bool) *attempt {
-	x, t := a.x, &a.takeover
+	t := &a.takeover
 	t.mu.Lock()
 	t.ended = true
 	t.timer.stop()
 	next := t.standby
-	if next != nil && !(t.taken && retry) {
+	keep := t.taken && retry
+	if next != nil && !keep {
 		next.cancel(errSuperseded)
 		if !t.taken {
 			t.standby = nil // ended by settle
 		}
 	}
 	t.mu.Unlock()
-	for _, b := range t.standbys {
-		if b == next && t.taken && retry {
+	a.countStandbys(keep)
+	if keep {
+		return next
+	}
+	return nil
+}
+
+// countStandbys waits until all standbys have ended, and counts what they did. With keep, it leaves out the one that has the request.
+// No standby may start any more.
+func (a *attempt) countStandbys(keep bool) {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	standbys, next := t.standbys, t.standby
+	t.standbys = nil
+	if keep {
+		t.standbys = []*attempt{next}
+	}
+	t.mu.Unlock()
+	for _, b := range standbys {
+		if b == next && keep {
 			continue
 		}
 		<-b.standby.opened
-		if b == next && t.taken {
+		if b == next { // it had the request, so that settle has not released it
 			b.release(pool.Cancelled)
 		}
-		x.tried = append(x.tried, b.grant.Endpoint.ID)
+		id := b.grant.Endpoint.ID
+		x.tried = append(x.tried, id)
 		if b.sent() {
 			x.sends++
 		}
-		if b.mayHaveRun() {
-			x.recordRun(b.grant.Endpoint.ID)
+		if !b.mayHaveRun() {
+			continue
+		}
+		x.recordRun(id)
+		if b.wasCancelledFor(errSuperseded) || b.wasCancelledFor(errOverlapEnded) { // its endpoint has not failed
+			x.givenUp = append(x.givenUp, id)
 		}
 	}
-	if t.taken && retry {
-		return next
-	}
-	return nil
 }
 
+// wasCancelledFor reports whether err is why the attempt was cancelled.
+func (a *attempt) wasCancelledFor(err error) bool { return errors.Is(context.Cause(a.ctx), err) }
+
 // takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true.
 type takeoverTimer struct {
 	mu      sync.Mutex
