io/proxy: a standby that failed to prove itself loses no part of its body

Cause: prefetch read the beginning of the body and dropped it when it failed. If the standby had got the request meanwhile, as after 250 ms without proof, the attempt read on behind it; and after a reset, the next read of the connection reports an orderly end. Lack of memory and an event out of order dropped bytes in the same way (TestPrefetchKeepsBody, 3 cases).

What prefetch has read, and the error, are now read again by whoever reads the body next.

--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -282,10 +282,14 @@
 	return pool.Served, nil
 }
 
-// prefetch reads the beginning of the response as far as prove needs it.
+// prefetch reads the beginning of the response as far as prove needs it. What it has read, and an error of the connection, are read
+// again by whoever reads the body next: the standby may have got the request meanwhile.
 func (a *attempt) prefetch(begun bool) error {
 	stream := a.x.route.Kind == route.Stream && a.succeeded()
+	body := a.resp.Body
+	rest := io.Reader(body)
 	var buf []byte
+	defer func() { a.resp.Body = prefetchedBody{io.MultiReader(bytes.NewReader(buf), rest), body} }()
 	for end, proven := false, false; !proven && !end && len(buf) < maxPrefetchBytes; {
 		if len(buf) == cap(buf) {
 			size := max(2*cap(buf), streamBufferBytes)
@@ -295,9 +299,10 @@
 			a.standby.reserved += int64(size)
 			buf = append(make([]byte, 0, size), buf...)
 		}
-		n, err := a.resp.Body.Read(buf[len(buf):cap(buf)])
+		n, err := body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if err != nil && err != io.EOF {
+			rest = failedReader{err} // after a reset, a connection may report an orderly end
 			return err
 		}
 		end = err == io.EOF
@@ -313,7 +318,6 @@
 			return errNoEvents
 		}
 	}
-	a.resp.Body = prefetchedBody{io.MultiReader(bytes.NewReader(buf), a.resp.Body), a.resp.Body}
 	return nil
 }
 
@@ -323,6 +327,11 @@
 	io.Closer
 }
 
+// failedReader is the rest of a body that could not be read.
+type failedReader struct{ err error }
+
+func (r failedReader) Read([]byte) (int, error) { return 0, r.err }
+
 // keepsRequest is called before a part of the response is relayed. It cancels the standby, or returns false if the standby has the
 // request.
 func (a *attempt) keepsRequest() bool {
