core/pool, io/proxy: a request returns to its endpoint also if that is suspended or full

Cause: the attempts that were given up count as broken, so the endpoint is suspended and then gets one request at a time, and the slot is free for others from then on. The streams, which may run nowhere else, waited in the queue for it until their deadline.

A request that returns gets its endpoint unless that leaves or asked to wait; the endpoint queues a few requests itself. Each such return has been paid from the retry budget, which bounds them.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -156,13 +156,16 @@
 		if !e.leaving() {
 			listed = true
 		}
-		if !e.available(now) || avoidPauses && p.interrupts(now, e, &t.req) {
+		if !e.available(now) && !(t.req.Returning && e.accepts(now)) || avoidPauses && p.interrupts(now, e, &t.req) {
 			continue
 		}
 		c := candidate{endpointState: e, freeInReports: e.Slots - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
 			c.freeInReports, c.netReleased = max(e.Slots-e.ownRunning, 0), 0
 		}
+		if t.req.Returning && c.freeInReports+c.netReleased <= 0 {
+			c.freeInReports, c.netReleased = 1, 0
+		}
 		if c.freeInReports <= 0 && c.freeInReports+c.netReleased <= 0 {
 			continue
 		}
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -66,6 +66,9 @@
 // leaving reports whether the endpoint is shutting down, according to its entry or its own responses.
 func (e *endpointState) leaving() bool { return e.Leaving || e.notice != nil && e.notice.leaving }
 
+// accepts reports whether the endpoint accepts requests, suspended or not.
+func (e *endpointState) accepts(now time.Time) bool { return !e.leaving() && !e.notice.closed(now) }
+
 // totalRunning returns the number of requests of all instances.
 func (e *endpointState) totalRunning() int { return e.ownRunning + e.peerLoad.running }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -49,6 +49,9 @@
 	Exclude []core.EndpointID
 	// Only lists the endpoints of which one is to be chosen; empty for any. Exclude does not apply to them.
 	Only []core.EndpointID
+	// Returning marks a request that was taken from the endpoints in Only while they may have been sound. It may run nowhere else, so
+	// a suspension and the lack of a free slot do not keep it from them.
+	Returning bool
 	// Retried marks a request that was already sent to another endpoint; its caller may be receiving the response.
 	Retried bool
 	// Begun marks a request whose caller is receiving the response, which can no longer be refused.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -325,3 +325,29 @@
 	req.Only = []core.EndpointID{"gone"}
 	g.Expect(decision(p.Submit(begin, req))).To(BeAssignableToTypeOf(pool.Refusal{}))
 }
+
+// Guards against a request that cannot return to the endpoint that worked on it, because that is suspended or its slot has been taken.
+func TestReturning(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(p *pool.Pool)
+		granted bool
+	}{
+		{"full", func(p *pool.Pool) { p.Submit(begin, request(1, begin)) }, true},
+		{"suspended", func(p *pool.Pool) { p.Release(begin, p.Acquire(begin, request(1, begin)), pool.Unreachable) }, true},
+		{"leaving", func(p *pool.Pool) {
+			e := endpoints(1, 1)
+			e[0].Leaving = true
+			p.SetEndpoints(begin, e)
+		}, false},
+		{"gone", func(p *pool.Pool) { p.SetEndpoints(begin, nil) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPool(endpoints(1, 1))
+			c.prepare(p)
+			req := request(1, begin)
+			req.Only, req.Returning, req.Retried = []core.EndpointID{"e00"}, true, true
+			NewWithT(t).Expect(p.Acquire(begin, req) != nil).To(Equal(c.granted))
+		})
+	}
+}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -529,7 +529,7 @@
 		Retried: x.sends > 0, Begun: x.headerWritten,
 	}
 	if x.possibleRuns >= x.route.Attempts {
-		req.Only = slices.Clone(x.givenUp)
+		req.Only, req.Returning = slices.Clone(x.givenUp), len(x.givenUp) > 0
 	}
 	return req
 }
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -134,9 +134,9 @@
 	if p.req.Deadline.Sub(now) < minTimeForRetry || !p.mayRunElsewhere(x.route) {
 		return true
 	}
-	p.req.Only = nil
+	p.req.Only, p.req.Returning = nil, false
 	if p.runs >= x.route.Attempts {
-		p.req.Only = p.givenUp
+		p.req.Only, p.req.Returning = p.givenUp, true
 	}
 	g := x.pool.Acquire(now, p.req)
 	if g == nil {
