io/proxy: a silent endpoint that leaves or is gone keeps its request until another one has responded

What is seen: a stream pauses for 1.9 s at an endpoint that is draining, states that it leaves, or is not listed any more; the other endpoint is silent. The stream ended without its rest (TestPausedStreamStaysAtLeavingEndpoint, 3 of 3 cases failed before). Such an endpoint completes its requests while it is drained; after planned work this is every endpoint.

Cause: after 250 ms the stream was given to the standby, on the assumption that it can return. It can't: no request may be sent to such an endpoint. It now keeps the request unless the standby responds within 250 ms.

--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -205,7 +205,8 @@
 	return a.x.handler.o.Budgets.TakeRetry(a.x.service)
 }
 
-// endOverlap gives the request to a standby that has not responded yet, if a retry is left to return, or else cancels the standby.
+// endOverlap gives the request to a standby that has not responded yet, if it can return and a retry is left for that, or else cancels
+// the standby.
 func (a *attempt) endOverlap(b *attempt) {
 	x, t := a.x, &a.takeover
 	t.mu.Lock()
@@ -213,7 +214,8 @@
 	if t.standby != b || t.taken || t.ended {
 		return
 	}
-	if b.standby.returnPaid = x.handler.o.Budgets.TakeRetry(x.service); !b.standby.returnPaid {
+	b.standby.returnPaid = x.pool.MayReturn(time.Now(), a.grant) && x.handler.o.Budgets.TakeRetry(x.service)
+	if !b.standby.returnPaid {
 		t.standby = nil
 		b.cancel(errOverlapEnded)
 		return
