io/proxy: slow endpoints do not pass a request to and fro until its deadline

What is seen: both endpoints need 1.5 s for a response, instead of 0.04 s as predicted. Each hand-over also took two retries from the budget of all requests.

Cause: a return is no attempt of the route, and each return could end in another hand-over without a response. Each attempt had 0.9 s.

There are at most two hand-overs without a response in a row, to another endpoint and back, and each doubles the time for the response, but not for streams, whose callers leave after 2 s.

--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -31,6 +31,9 @@
 	// maxOverlap is how long two endpoints may work on a request. The platform allows 400 ms, and an endpoint learns late
 	// that its request was cancelled.
 	maxOverlap = 250 * time.Millisecond
+	// maxHandOvers is the number of hand-overs in a row to standbys that have not responded: to another endpoint and back. With more
+	// of them, slow endpoints would begin the request anew until its deadline.
+	maxHandOvers = 2
 	// maxPrefetchBytes is the size of the largest part of a response that a standby reads before it has the request.
 	maxPrefetchBytes = maxEventBytes
 )
@@ -60,6 +63,7 @@
 	reserved   int64         // bytes of buffers
 	returnPaid bool          // a retry for the return to the first endpoint has been taken from the budget
 	notRun     bool          // it has ended, and the endpoint did not run the request
+	handOvers  int           // number of hand-overs without a response in a row, the last one being to this standby
 }
 
 // standbyPlan is what a standby is chosen by: a copy of the state of the exchange, which goes on.
@@ -80,7 +84,11 @@
 	} else {
 		p.runs++
 	}
-	a.watch(p, max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout), func() bool {
+	timeout := max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout)
+	if a.x.route.Kind != route.Stream {
+		timeout <<= a.standby.handOvers // the endpoints may be slow rather than silent, and its caller waits until the deadline
+	}
+	a.watch(p, timeout, func() bool {
 		// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so far. From
 		// then on only the deadline limits the wait for this response.
 		return a.x.pool.RespondedSince(a.grant) || a.tryStandby(p)
@@ -214,7 +222,7 @@
 	if t.standby != b || t.taken || t.ended {
 		return
 	}
-	b.standby.returnPaid = x.pool.MayReturn(time.Now(), a.grant) && x.handler.o.Budgets.TakeRetry(x.service)
+	b.standby.returnPaid = a.standby.handOvers < maxHandOvers && x.pool.MayReturn(time.Now(), a.grant) && x.handler.o.Budgets.TakeRetry(x.service)
 	if !b.standby.returnPaid {
 		t.standby = nil
 		b.cancel(errOverlapEnded)
@@ -229,6 +237,9 @@
 	x, t := a.x, &a.takeover
 	x.handler.o.Log.Info("takeover", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "next", t.standby.grant.Endpoint.ID,
 		"responded", responded)
+	if !responded {
+		t.standby.standby.handOvers = a.standby.handOvers + 1
+	}
 	t.taken = true
 	a.cancel(errNoResponse)
 }
