--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"slices"
 	"sync"
@@ -30,12 +31,19 @@
 	// maxOverlap is how long two endpoints may work on a request. The platform allows 400 ms, and an endpoint learns late
 	// that its request was cancelled.
 	maxOverlap = 250 * time.Millisecond
+	// maxHandOvers is the number of hand-overs in a row to standbys that have not responded: to another endpoint and back. With more
+	// of them, slow endpoints would begin the request anew until its deadline.
+	maxHandOvers = 2
 	// maxPrefetchBytes is the size of the largest part of a response that a standby reads before it has the request.
 	maxPrefetchBytes = maxEventBytes
 )
 
-// errSuperseded is the cause of contexts of standbys that are not needed any more.
-var errSuperseded = errors.New("the first endpoint has responded")
+var (
+	// errSuperseded is the cause of contexts of standbys that are not needed any more.
+	errSuperseded = errors.New("the first endpoint has responded")
+	// errOverlapEnded is the cause of contexts of standbys that were silent for maxOverlap and did not get the request.
+	errOverlapEnded = errors.New("no response during the overlap")
+)
 
 // takeover lets another endpoint, the standby, serve the request of an attempt whose endpoint is silent. A silent endpoint may still
 // be sound, and the standby may fail. So the endpoint keeps the request until the standby has responded, or until both
@@ -55,6 +63,7 @@
 	reserved   int64         // bytes of buffers
 	returnPaid bool          // a retry for the return to the first endpoint has been taken from the budget
 	notRun     bool          // it has ended, and the endpoint did not run the request
+	handOvers  int           // number of hand-overs without a response in a row, the last one being to this standby
 }
 
 // standbyPlan is what a standby is chosen by: a copy of the state of the exchange, which goes on.
@@ -75,7 +84,11 @@
 	} else {
 		p.runs++
 	}
-	a.watch(p, max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout), func() bool {
+	timeout := max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout)
+	if a.x.route.Kind != route.Stream {
+		timeout <<= a.standby.handOvers // the endpoints may be slow rather than silent, and its caller waits until the deadline
+	}
+	a.watch(p, timeout, func() bool {
 		// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so far. From
 		// then on only the deadline limits the wait for this response.
 		return a.x.pool.RespondedSince(a.grant) || a.tryStandby(p)
@@ -129,9 +142,9 @@
 	if p.req.Deadline.Sub(now) < minTimeForRetry || !p.mayRunElsewhere(x.route) {
 		return true
 	}
-	p.req.Only = nil
+	p.req.Only, p.req.Returning = nil, false
 	if p.runs >= x.route.Attempts {
-		p.req.Only = p.givenUp
+		p.req.Only, p.req.Returning = p.givenUp, true
 	}
 	g := x.pool.Acquire(now, p.req)
 	if g == nil {
@@ -161,6 +174,11 @@
 		c.req.Exclude = append(c.req.Exclude, id)
 		switch i := slices.Index(c.givenUp, id); {
 		case b.standby.notRun:
+		case b.wasCancelledFor(errSuperseded):
+			if i < 0 {
+				c.runs++
+				c.givenUp = append(c.givenUp, id)
+			}
 		case i >= 0:
 			c.givenUp = slices.Delete(c.givenUp, i, i+1)
 		default:
@@ -195,7 +213,8 @@
 	return a.x.handler.o.Budgets.TakeRetry(a.x.service)
 }
 
-// endOverlap gives the request to a standby that has not responded yet, if a retry is left to return, or else cancels the standby.
+// endOverlap gives the request to a standby that has not responded yet, if it can return and a retry is left for that, or else cancels
+// the standby.
 func (a *attempt) endOverlap(b *attempt) {
 	x, t := a.x, &a.takeover
 	t.mu.Lock()
@@ -203,9 +222,10 @@
 	if t.standby != b || t.taken || t.ended {
 		return
 	}
-	if b.standby.returnPaid = x.handler.o.Budgets.TakeRetry(x.service); !b.standby.returnPaid {
+	b.standby.returnPaid = a.standby.handOvers < maxHandOvers && x.pool.MayReturn(time.Now(), a.grant) && x.handler.o.Budgets.TakeRetry(x.service)
+	if !b.standby.returnPaid {
 		t.standby = nil
-		b.cancel(errSuperseded)
+		b.cancel(errOverlapEnded)
 		return
 	}
 	a.handOver(false)
@@ -217,6 +237,9 @@
 	x, t := a.x, &a.takeover
 	x.handler.o.Log.Info("takeover", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "next", t.standby.grant.Endpoint.ID,
 		"responded", responded)
+	if !responded {
+		t.standby.standby.handOvers = a.standby.handOvers + 1
+	}
 	t.taken = true
 	a.cancel(errNoResponse)
 }
@@ -272,10 +295,14 @@
 	return pool.Served, nil
 }
 
-// prefetch reads the beginning of the response as far as prove needs it.
+// prefetch reads the beginning of the response as far as prove needs it. What it has read, and an error of the connection, are read
+// again by whoever reads the body next: the standby may have got the request meanwhile.
 func (a *attempt) prefetch(begun bool) error {
 	stream := a.x.route.Kind == route.Stream && a.succeeded()
+	body := a.resp.Body
+	rest := io.Reader(body)
 	var buf []byte
+	defer func() { a.resp.Body = prefetchedBody{io.MultiReader(bytes.NewReader(buf), rest), body} }()
 	for end, proven := false, false; !proven && !end && len(buf) < maxPrefetchBytes; {
 		if len(buf) == cap(buf) {
 			size := max(2*cap(buf), streamBufferBytes)
@@ -285,9 +312,10 @@
 			a.standby.reserved += int64(size)
 			buf = append(make([]byte, 0, size), buf...)
 		}
-		n, err := a.resp.Body.Read(buf[len(buf):cap(buf)])
+		n, err := body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if err != nil && err != io.EOF {
+			rest = failedReader{err} // after a reset, a connection may report an orderly end
 			return err
 		}
 		end = err == io.EOF
@@ -303,7 +331,6 @@
 			return errNoEvents
 		}
 	}
-	a.resp.Body = prefetchedBody{io.MultiReader(bytes.NewReader(buf), a.resp.Body), a.resp.Body}
 	return nil
 }
 
@@ -313,6 +340,11 @@
 	io.Closer
 }
 
+// failedReader is the rest of a body that could not be read.
+type failedReader struct{ err error }
+
+func (r failedReader) Read([]byte) (int, error) { return 0, r.err }
+
 // keepsRequest is called before a part of the response is relayed. It cancels the standby, or returns false if the standby has the
 // request.
 func (a *attempt) keepsRequest() bool {
@@ -330,53 +362,78 @@
 	return true
 }
 
-// claimStandby gives the request to the standby, and reports whether there is one. If not, none will be started.
+// claimStandby gives the request to the standby, and reports whether there is one. If not, none will be started. It counts what the
+// other standbys did.
 func (a *attempt) claimStandby() bool {
 	t := &a.takeover
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.ended = true
 	t.taken = t.taken || t.standby != nil
+	t.mu.Unlock()
+	a.countStandbys(t.taken)
 	return t.taken
 }
 
 // endTakeover returns the standby if it has the request and the request is to be retried. It ends all others, and counts what
 // they did.
 func (a *attempt) endTakeover(retry bool) *attempt {
-	x, t := a.x, &a.takeover
+	t := &a.takeover
 	t.mu.Lock()
 	t.ended = true
 	t.timer.stop()
 	next := t.standby
-	if next != nil && !(t.taken && retry) {
+	keep := t.taken && retry
+	if next != nil && !keep {
 		next.cancel(errSuperseded)
 		if !t.taken {
 			t.standby = nil // ended by settle
 		}
 	}
 	t.mu.Unlock()
-	for _, b := range t.standbys {
-		if b == next && t.taken && retry {
+	a.countStandbys(keep)
+	if keep {
+		return next
+	}
+	return nil
+}
+
+// countStandbys waits until all standbys have ended, and counts what they did. With keep, it leaves out the one that has the request.
+// No standby may start any more.
+func (a *attempt) countStandbys(keep bool) {
+	x, t := a.x, &a.takeover
+	t.mu.Lock()
+	standbys, next := t.standbys, t.standby
+	t.standbys = nil
+	if keep {
+		t.standbys = []*attempt{next}
+	}
+	t.mu.Unlock()
+	for _, b := range standbys {
+		if b == next && keep {
 			continue
 		}
 		<-b.standby.opened
-		if b == next && t.taken {
+		if b == next { // it had the request, so that settle has not released it
 			b.release(pool.Cancelled)
 		}
-		x.tried = append(x.tried, b.grant.Endpoint.ID)
+		id := b.grant.Endpoint.ID
+		x.tried = append(x.tried, id)
 		if b.sent() {
 			x.sends++
 		}
-		if b.mayHaveRun() {
-			x.recordRun(b.grant.Endpoint.ID)
+		if !b.mayHaveRun() {
+			continue
+		}
+		x.recordRun(id)
+		if b.wasCancelledFor(errSuperseded) || b.wasCancelledFor(errOverlapEnded) { // its endpoint has not failed
+			x.givenUp = append(x.givenUp, id)
 		}
 	}
-	if t.taken && retry {
-		return next
-	}
-	return nil
 }
 
+// wasCancelledFor reports whether err is why the attempt was cancelled.
+func (a *attempt) wasCancelledFor(err error) bool { return errors.Is(context.Cause(a.ctx), err) }
+
 // takeoverTimer calls a function after a time, and then every takeoverInterval until it returns true.
 type takeoverTimer struct {
 	mu      sync.Mutex
