gateway, io/proxy: refuse new and waiting requests in time during a planned stop

Callers sent requests to an instance that was about to end, and got no answer: their connections were closed at the end of the grace period.

New requests were served until 3 s after SIGTERM was handled, so that some were passed on later than 3 s after it was sent. The refusal looked only at requests whose header arrived after it. Requests that waited for an endpoint then, or whose body was still arriving, were passed on seconds later and cut off with the process.

New requests are refused after 2.5 s, when the load balancer, which needs two failed checks a second apart, has sent its last connection. From then on a request that certainly did not run is not passed on any more, wherever it is: those in a queue get 503 at once, also after a rejection by an endpoint, those with a body when it has arrived. Requests that may have run go on. Responses to requests that arrived before the stop ask the caller to close the connection too. Stop runs once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	cancel                context.CancelFunc
 	wg                    sync.WaitGroup
 	servers               []*http.Server
+	stopOnce              sync.Once
 
 	// Only the control goroutine uses the fields below.
 	mirrors           [collectionCount]*mirror.Mirror
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,20 +9,23 @@
 )
 
 const (
-	// balancerDelay is how long after a failing health check the load balancer may still send connections: it checks
-	// once a second and needs two failures.
-	balancerDelay = 3 * time.Second
+	// balancerDelay is how long after a failing health check new requests are served. The load balancer checks once a
+	// second and sends no more connections after two failures. The platform excuses work that is cut off at the end of the
+	// grace period if it was sent within three seconds of SIGTERM, which may be handled late.
+	balancerDelay = 2500 * time.Millisecond
 	// exitMargin is the time before SIGKILL at which the process exits, even if requests are still running.
 	exitMargin = 400 * time.Millisecond
 )
 
 // Stop shuts the gateway down. It fails the health checks, serves new requests until the load balancer has reacted, and
 // then waits for the requests in progress until shortly before the end of the grace period.
-func (g *Gateway) Stop() {
+func (g *Gateway) Stop() { g.stopOnce.Do(g.stop) }
+
+func (g *Gateway) stop() {
 	started := time.Now()
 	end := started.Add(g.o.Settings.ShutdownGrace - exitMargin)
 	g.leaving.Store(true)
-	g.proxy.DisableKeepAlives()
+	g.proxy.BeginShutdown()
 	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", g.o.Settings.ShutdownGrace.String())
 	time.Sleep(min(balancerDelay, max(time.Until(end)/2, 0)))
 	g.proxy.RefuseNew()
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -358,6 +358,7 @@
 // writeResponse writes a complete response to the caller.
 func (x *exchange) writeResponse(w *bufferedResponse, reason string) result {
 	h := x.w.Header()
+	x.handler.setConnectionHeader(h)
 	copyResponseHeader(h, w.header)
 	switch {
 	case w.framing == framing.Close:
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -128,8 +128,7 @@
 // Handler is the HTTP handler for requests of callers.
 type Handler struct {
 	o              Options
-	keepAlivesOff  atomic.Bool
-	refusing       atomic.Bool
+	shutdown       *shutdown
 	active         atomic.Int64
 	openConns      atomic.Int64 // number of open connections of callers
 	keepAliveLimit atomic.Int64 // number of open connections above which responses close them; 0 for no limit
@@ -139,17 +138,11 @@
 
 // New returns a Handler.
 func New(o Options) *Handler {
-	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
+	h := &Handler{o: o, shutdown: newShutdown(), stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
 	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
 	return h
 }
 
-// DisableKeepAlives makes all further responses ask the caller to close the connection. Requests are still served.
-func (h *Handler) DisableKeepAlives() { h.keepAlivesOff.Store(true) }
-
-// RefuseNew makes the handler refuse new requests, so that callers try another instance.
-func (h *Handler) RefuseNew() { h.refusing.Store(true) }
-
 // TrackConnections returns a hook for http.Server.ConnState that counts open connections. While more than keepAliveLimit
 // are open, responses ask the caller to close the connection.
 func (h *Handler) TrackConnections(keepAliveLimit int) func(net.Conn, http.ConnState) {
@@ -238,9 +231,6 @@
 	r = r.WithContext(ctx)
 	x := &exchange{handler: h, w: w, r: r, rc: http.NewResponseController(w), info: h.o.Headers.ParseRequest(r.Header), config: h.o.Config(), arrived: time.Now(), stage: stageArrival}
 	x.lastEventID = x.info.LastEventID
-	if limit := h.keepAliveLimit.Load(); h.keepAlivesOff.Load() || limit > 0 && h.openConns.Load() > limit {
-		w.Header().Set("Connection", "close")
-	}
 	defer x.recordPanic()
 	result := x.serve()
 	if x.closeDelimited && !result.abort {
@@ -311,6 +301,7 @@
 	}
 	x.drainBody()
 	h := x.w.Header()
+	x.handler.setConnectionHeader(h)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
 	x.rc.SetWriteDeadline(time.Now().Add(writeGrace)) // fails only on closed connections
@@ -338,8 +329,8 @@
 	if t == nil {
 		return x.refuse(http.StatusServiceUnavailable, "no configuration yet", startupRetryAfter)
 	}
-	if x.handler.refusing.Load() {
-		return x.refuse(http.StatusServiceUnavailable, "shutting down", shortRetryAfter)
+	if x.mustRefuse() {
+		return x.refuseForShutdown()
 	}
 	var ok bool
 	if x.route, ok = t.Match(x.r.Host, x.r.URL.EscapedPath()); !ok {
@@ -490,6 +481,9 @@
 	if x.r.Context().Err() != nil {
 		return nil, x.endForCallerLeft()
 	}
+	if x.mustRefuse() {
+		return nil, x.refuseForShutdown()
+	}
 	x.stage = stageQueue
 	start := time.Now()
 	t := x.pool.Submit(start, x.poolRequest())
@@ -498,29 +492,44 @@
 	case d := <-t.Decided:
 		switch d := d.(type) {
 		case *pool.Grant:
-			if now := time.Now(); x.sends == 0 && x.takenUnits > 0 && now.Sub(x.takenAt) > moveUsageAfter {
-				x.handler.o.Budgets.MoveUsage(x.takenAt, x.workspace.ID, x.takenUnits)
-				x.takenAt = now
-			}
-			x.recordGrant(d)
-			return d, result{}
+			return x.acceptGrant(d)
 		case pool.Refusal:
 			x.poolState = d.State
 			return nil, x.failOrRefuse(d.Reason, d.RetryAfter)
 		}
 	case <-x.r.Context().Done():
-		if g := x.pool.Withdraw(time.Now(), t); g != nil {
-			x.pool.Release(time.Now(), g, pool.Cancelled)
-		}
+		x.withdraw(t)
 		return nil, x.endForCallerLeft()
+	case <-x.refusing():
+		x.withdraw(t)
+		return nil, x.refuseForShutdown()
 	case <-ctx.Done():
-		if g := x.pool.Withdraw(time.Now(), t); g != nil {
-			x.pool.Release(time.Now(), g, pool.Cancelled)
-		}
+		x.withdraw(t)
 	}
 	return nil, x.failOrRefuse("deadline", shortRetryAfter)
 }
 
+// acceptGrant uses a grant, unless the request is to be refused because the handler is shutting down.
+func (x *exchange) acceptGrant(g *pool.Grant) (*pool.Grant, result) {
+	if x.mustRefuse() {
+		x.pool.Release(time.Now(), g, pool.Cancelled)
+		return nil, x.refuseForShutdown()
+	}
+	if now := time.Now(); x.sends == 0 && x.takenUnits > 0 && now.Sub(x.takenAt) > moveUsageAfter {
+		x.handler.o.Budgets.MoveUsage(x.takenAt, x.workspace.ID, x.takenUnits)
+		x.takenAt = now
+	}
+	x.recordGrant(g)
+	return g, result{}
+}
+
+// withdraw ends the wait for an endpoint.
+func (x *exchange) withdraw(t *pool.Ticket) {
+	if g := x.pool.Withdraw(time.Now(), t); g != nil {
+		x.pool.Release(time.Now(), g, pool.Cancelled)
+	}
+}
+
 // poolRequest returns the request as the pool sees it.
 func (x *exchange) poolRequest() pool.Request {
 	req := pool.Request{
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -128,6 +128,7 @@
 func (a *attempt) writeEvents(events []byte) error {
 	x := a.x
 	if !x.headerWritten {
+		x.handler.setConnectionHeader(x.w.Header())
 		copyResponseHeader(x.w.Header(), a.resp.Header)
 		if a.resp.Framing == framing.Close || !x.r.ProtoAtLeast(1, 1) { // HTTP/1.0 has no chunks
 			x.delimitByClose()
