gateway, io/proxy: answer the requests that the end of the grace period cuts off

Callers whose requests still ran at the end of a planned stop saw their connection close without an answer, also where nothing had been sent to an endpoint; the log called them callers that had left (499), or did not name them at all.

The servers were closed while the handlers still ran, so a handler learned of the end only from its lost connection.

Now the handlers are told to end 600 ms before SIGKILL. A request that certainly did not run is refused with 503. One that may have run, and whose response has not begun, gets 502, which promises nothing. A response that has begun is broken off, so that a stream can be resumed. Bodies that are still arriving, and writes to slow callers, end too. The process exits 250 ms before SIGKILL even then. The log names each with the reason "cut at the end of the grace period", and "stopped" counts them.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -13,8 +13,10 @@
 	// second and sends no more connections after two failures. The platform excuses work that is cut off at the end of the
 	// grace period if it was sent within three seconds of SIGTERM, which may be handled late.
 	balancerDelay = 2500 * time.Millisecond
-	// exitMargin is the time before SIGKILL at which the process exits, even if requests are still running.
-	exitMargin = 400 * time.Millisecond
+	// cutOffMargin is the time before SIGKILL at which the requests that are still running are cut off, and exitMargin the
+	// time before it at which the process exits even if their responses have not been written.
+	cutOffMargin = 600 * time.Millisecond
+	exitMargin   = 250 * time.Millisecond
 )
 
 // Stop shuts the gateway down. It fails the health checks, serves new requests until the load balancer has reacted, and
@@ -23,18 +25,22 @@
 
 func (g *Gateway) stop() {
 	started := time.Now()
-	end := started.Add(g.o.Settings.ShutdownGrace - exitMargin)
+	grace := g.o.Settings.ShutdownGrace
+	cutOff := started.Add(max(grace-cutOffMargin, grace/2))
 	g.leaving.Store(true)
 	g.proxy.BeginShutdown()
-	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", g.o.Settings.ShutdownGrace.String())
-	time.Sleep(min(balancerDelay, max(time.Until(end)/2, 0)))
+	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", grace.String())
+	time.Sleep(min(balancerDelay, time.Until(cutOff)/2))
 	g.proxy.RefuseNew()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), cutOff)
 	defer cancel()
-	cut := 0
 	if !waitUntilZero(ctx, g.proxy.ActiveRequests) {
-		cut = g.proxy.ActiveRequests()
+		g.proxy.CutOff()
 	}
+	ctx, cancel = context.WithDeadline(context.Background(), cutOff.Add(cutOffMargin-exitMargin))
+	defer cancel()
+	waitUntilZero(ctx, g.proxy.ActiveRequests)
+	cut := g.proxy.CutRequests() + g.proxy.ActiveRequests()
 	for _, s := range g.servers {
 		// Waits for requests that have just been accepted, which are refused, until the deadline.
 		if err := s.Shutdown(ctx); err != nil {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -247,6 +247,8 @@
 	switch {
 	case x.callerLeft():
 		return x.endForCallerLeft(), false
+	case errors.Is(context.Cause(a.ctx), errCutOff):
+		return x.endForCutOff(), false
 	// The context has ended at the deadline, unless the response timer cancelled it.
 	case a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errNoResponse), time.Until(x.deadline) < minTimeForRetry:
 		return x.failOrRefuse("deadline", shortRetryAfter), false
@@ -280,6 +282,9 @@
 	if x.callerLeft() && x.route.Kind != route.AtMostOnce {
 		return x.endForCallerLeft(), false
 	}
+	if errors.Is(err, errCutOff) {
+		return x.endForCutOff(), false
+	}
 	if errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline) {
 		return x.respondError(http.StatusGatewayTimeout, "deadline"), false
 	}
@@ -372,8 +377,7 @@
 	x.w.WriteHeader(w.status)
 	x.headerWritten, x.firstByte = true, time.Now()
 	if _, err := x.w.Write(w.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		x.cause = err
-		return result{status: statusCallerLeft, reason: "caller left", abort: true}
+		return x.endForWriteError(err)
 	}
 	return result{status: w.status, reason: reason}
 }
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -238,6 +238,9 @@
 	}
 	h.memory.used.Add(-x.reserved)
 	x.recordRequest(result)
+	if result.reason == cutOffReason {
+		h.shutdown.cutCount.Add(1)
+	}
 	if result.abort {
 		// Closes the connection, so that the caller notices that the response is incomplete.
 		panic(http.ErrAbortHandler)
@@ -316,11 +319,11 @@
 	if x.body != nil || x.r.Body == nil || x.r.Body == http.NoBody {
 		return
 	}
-	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
+	stop := x.limitBodyRead()
+	defer stop()
 	if _, err := io.CopyN(io.Discard, x.r.Body, maxDrainBytes); err != io.EOF {
 		x.recordCause(err)
 	}
-	x.rc.SetReadDeadline(time.Time{})
 }
 
 // serve validates the request, selects its service, takes its quota and dispatches it.
@@ -378,15 +381,18 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return result{}, true
 	}
-	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
+	stop := x.limitBodyRead()
 	b, err := x.readBuffered(x.r.Body, x.r.ContentLength, limit)
-	x.rc.SetReadDeadline(time.Time{})
+	stop()
 	switch {
 	case errors.Is(err, errBodyMemory):
 		x.cause = err
 		return x.refuse(http.StatusServiceUnavailable, "out of memory", shortRetryAfter), false
 	case errors.Is(err, errTooLarge):
 		return x.respondError(http.StatusRequestEntityTooLarge, "body too large"), false
+	case err != nil && x.isCutOff():
+		x.cause = err
+		return x.endForCutOff(), false
 	case err != nil:
 		x.cause = err
 		return x.respondError(http.StatusRequestTimeout, "body not received"), false
@@ -432,7 +438,7 @@
 // dispatch waits for an endpoint and sends the request. It retries at other endpoints, where that is allowed, until a
 // response has been relayed or no attempt is left.
 func (x *exchange) dispatch() result {
-	ctx, cancel := context.WithDeadlineCause(x.workContext(), x.deadline, errDeadline)
+	ctx, cancel := x.attemptContext()
 	defer cancel()
 	for {
 		a, r := x.nextAttempt(ctx)
@@ -505,6 +511,9 @@
 		return nil, x.refuseForShutdown()
 	case <-ctx.Done():
 		x.withdraw(t)
+		if errors.Is(context.Cause(ctx), errCutOff) {
+			return nil, x.endForCutOff()
+		}
 	}
 	return nil, x.failOrRefuse("deadline", shortRetryAfter)
 }
--- a/io/proxy/shutdown.go
+++ b/io/proxy/shutdown.go
@@ -1,19 +1,41 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	shutdownReason = "shutting down"
+	cutOffReason   = "cut at the end of the grace period"
+	// cutOffWriteTimeout limits the writing of a response that is in progress when requests are cut off.
+	cutOffWriteTimeout = 100 * time.Millisecond
 )
 
-const shutdownReason = "shutting down"
+// errCutOff is the cause of contexts of requests that are cut off at the end of the grace period.
+var errCutOff = errors.New("end of the grace period")
+
+// past is a deadline that makes every read fail.
+var past = time.Unix(1, 0)
 
 // shutdown is the state of a graceful shutdown.
 type shutdown struct {
 	begun    atomic.Bool
-	refusing chan struct{} // closed when new requests are refused
+	refusing chan struct{}   // closed when new requests are refused
+	cutOff   context.Context // ends when requests are cut off
+	doCutOff context.CancelFunc
+	cutCount atomic.Int64
 }
 
-func newShutdown() *shutdown { return &shutdown{refusing: make(chan struct{})} }
+func newShutdown() *shutdown {
+	s := &shutdown{refusing: make(chan struct{})}
+	s.cutOff, s.doCutOff = context.WithCancel(context.Background())
+	return s
+}
 
 // BeginShutdown makes all further responses ask the caller to close the connection. Requests are still served.
 func (h *Handler) BeginShutdown() { h.shutdown.begun.Store(true) }
@@ -22,6 +44,12 @@
 // another instance. It must be called once.
 func (h *Handler) RefuseNew() { close(h.shutdown.refusing) }
 
+// CutOff ends all requests: with an error, or by closing the connection of a response that has begun.
+func (h *Handler) CutOff() { h.shutdown.doCutOff() }
+
+// CutRequests returns the number of requests that CutOff has ended.
+func (h *Handler) CutRequests() int { return int(h.shutdown.cutCount.Load()) }
+
 // setConnectionHeader asks the caller to close the connection if the handler is shutting down or has too many connections. It is
 // called before the header of a response is written.
 func (h *Handler) setConnectionHeader(header http.Header) {
@@ -55,3 +83,54 @@
 func (x *exchange) refuseForShutdown() result {
 	return x.refuse(http.StatusServiceUnavailable, shutdownReason, shortRetryAfter)
 }
+
+// attemptContext returns the context of the attempts. It ends at the deadline of the request, and when requests are cut off.
+func (x *exchange) attemptContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(x.workContext())
+	stop := context.AfterFunc(x.handler.shutdown.cutOff, func() {
+		x.rc.SetWriteDeadline(time.Now().Add(cutOffWriteTimeout)) // fails only on closed connections
+		cancel(errCutOff)
+	})
+	ctx, cancelDeadline := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+	return ctx, func() {
+		stop()
+		cancelDeadline()
+		cancel(nil)
+	}
+}
+
+// limitBodyRead limits the time for reading the body until stop is called.
+func (x *exchange) limitBodyRead() (stop func()) {
+	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
+	done := make(chan struct{})
+	detach := context.AfterFunc(x.handler.shutdown.cutOff, func() {
+		x.rc.SetReadDeadline(past)
+		close(done)
+	})
+	return func() {
+		if !detach() {
+			<-done
+		}
+		x.rc.SetReadDeadline(time.Time{})
+	}
+}
+
+// isCutOff reports whether requests have been cut off.
+func (x *exchange) isCutOff() bool { return x.handler.shutdown.cutOff.Err() != nil }
+
+// endForCutOff ends a request that is cut off at the end of the grace period.
+func (x *exchange) endForCutOff() result {
+	if x.fresh() {
+		return x.refuse(http.StatusServiceUnavailable, cutOffReason, shortRetryAfter)
+	}
+	return x.respondError(http.StatusBadGateway, cutOffReason)
+}
+
+// endForWriteError ends a request whose response could not be written.
+func (x *exchange) endForWriteError(err error) result {
+	x.cause = err
+	if x.isCutOff() && !x.callerLeft() {
+		return result{status: http.StatusBadGateway, reason: cutOffReason, abort: true}
+	}
+	return x.endForCallerLeft()
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -72,8 +72,7 @@
 				return a.handleFailedAttempt(errNoResponse)
 			}
 			if writeErr := a.writeEvents(buf[:completeLen]); writeErr != nil {
-				x.cause = writeErr
-				return x.endForCallerLeft(), false
+				return x.endForWriteError(writeErr), false
 			}
 			x.lastEventID = events.lastID
 			x.notResumable = x.notResumable || events.unnumbered > 0
@@ -99,8 +98,7 @@
 	a.recordResponseStart()
 	// Writes the header if the stream had no data.
 	if err := a.writeEvents(nil); err != nil {
-		x.cause = err
-		return x.endForCallerLeft(), false
+		return x.endForWriteError(err), false
 	}
 	return result{status: resp.StatusCode, reason: "served"}, false
 }
