--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	cancel                context.CancelFunc
 	wg                    sync.WaitGroup
 	servers               []*http.Server
+	callers               net.Listener
 	stopOnce              sync.Once
 
 	// Only the control goroutine uses the fields below.
@@ -218,6 +219,7 @@
 		if l.callers {
 			maxConnections := max(int(descriptorShare*float64(s.MaxDescriptors)), 1)
 			ln = peerconn.NewListener(ln, maxConnections)
+			g.callers = ln
 			srv.ConnContext = peerconn.WithConn
 			srv.ConnState = g.proxy.TrackConnections(int(closingShare * float64(maxConnections)))
 		}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -161,6 +161,9 @@
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int { return int(h.active.Load()) }
 
+// OpenConnections returns the number of open connections of callers, if they are tracked.
+func (h *Handler) OpenConnections() int { return int(h.openConns.Load()) }
+
 // exchange is the processing of one request of a caller.
 type exchange struct {
 	handler    *Handler
