io/proxy: during a planned stop, refuse requests that would outlast it

Callers sent long streams in the first seconds of a planned stop, and got a part of them.

All requests were passed on until the load balancer had reacted, also where the instance knew that the stream could not end before the process.

A request that did not run is refused with 503, so that another instance serves it at once, if its predicted end at the chosen endpoint (for streams, with the stated maximum length) and its own deadline lie beyond the time at which requests are cut off. Without a prediction, and where the deadline comes first, it is passed on.

--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -304,9 +304,9 @@
 
 // grant assigns a slot of an endpoint to a request.
 func (p *Pool) grant(now time.Time, e *endpointState, t *Ticket) *Grant {
-	first, _ := p.model.predict(now, e, &t.req)
+	first, last := p.model.predict(now, e, &t.req)
 	g := &Grant{
-		Endpoint: e.Endpoint, ExpectedLatency: first, RunningAtEndpoint: e.totalRunning(), State: p.state(now),
+		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now),
 		endpointState: e, req: t.req, sent: now, promptBacklog: e.promptBacklog() + t.req.Prompt,
 	}
 	if e.consecutiveSuspensions > 0 {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -81,6 +81,8 @@
 	Endpoint Endpoint
 	// ExpectedLatency is the predicted time to the first event.
 	ExpectedLatency time.Duration
+	// ExpectedDuration is the predicted time to the last event of a stream, which is assumed to have its maximum length.
+	ExpectedDuration time.Duration
 	// RunningAtEndpoint is the known number of requests of all instances at the endpoint just before the grant.
 	RunningAtEndpoint int
 	State             State
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -31,7 +31,7 @@
 	grace := g.o.Settings.ShutdownGrace
 	cutOff := started.Add(max(grace-cutOffMargin, grace/2))
 	g.leaving.Store(true)
-	g.proxy.BeginShutdown()
+	g.proxy.BeginShutdown(cutOff)
 	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", grace.String())
 	time.Sleep(min(balancerDelay, time.Until(cutOff)/2))
 	g.proxy.RefuseNew()
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -523,7 +523,7 @@
 
 // acceptGrant uses a grant, unless the request is to be refused because the handler is shutting down.
 func (x *exchange) acceptGrant(g *pool.Grant) (*pool.Grant, result) {
-	if x.mustRefuse() {
+	if x.mustRefuse() || x.outlastsShutdown(g) {
 		x.pool.Release(time.Now(), g, pool.Cancelled)
 		return nil, x.refuseForShutdown()
 	}
--- a/io/proxy/shutdown.go
+++ b/io/proxy/shutdown.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"monsoondale/core/pool"
+	"monsoondale/core/route"
 )
 
 const (
@@ -24,9 +27,9 @@
 
 // shutdown is the state of a graceful shutdown.
 type shutdown struct {
-	begun    atomic.Bool
-	refusing chan struct{}   // closed when new requests are refused
-	cutOff   context.Context // ends when requests are cut off
+	end      atomic.Pointer[time.Time] // when requests will be cut off; nil if the handler is not shutting down
+	refusing chan struct{}             // closed when new requests are refused
+	cutOff   context.Context           // ends when requests are cut off
 	doCutOff context.CancelFunc
 	cutCount atomic.Int64
 }
@@ -37,8 +40,9 @@
 	return s
 }
 
-// BeginShutdown makes all further responses ask the caller to close the connection. Requests are still served.
-func (h *Handler) BeginShutdown() { h.shutdown.begun.Store(true) }
+// BeginShutdown makes all further responses ask the caller to close the connection. Requests are still served, except for those
+// that are expected to last beyond end, the time of CutOff.
+func (h *Handler) BeginShutdown(end time.Time) { h.shutdown.end.Store(&end) }
 
 // RefuseNew makes the handler refuse new requests, and those that wait for an endpoint and certainly did not run, so that callers try
 // another instance. It must be called once.
@@ -53,7 +57,7 @@
 // setConnectionHeader asks the caller to close the connection if the handler is shutting down or has too many connections. It is
 // called before the header of a response is written.
 func (h *Handler) setConnectionHeader(header http.Header) {
-	if limit := h.keepAliveLimit.Load(); h.shutdown.begun.Load() || limit > 0 && h.openConns.Load() > limit {
+	if limit := h.keepAliveLimit.Load(); h.shutdown.end.Load() != nil || limit > 0 && h.openConns.Load() > limit {
 		header.Set("Connection", "close")
 	}
 }
@@ -79,6 +83,20 @@
 	}
 }
 
+// outlastsShutdown reports whether the request, at the endpoint of a grant, is expected to be cut off at the end of the grace
+// period, while another instance could serve it.
+func (x *exchange) outlastsShutdown(g *pool.Grant) bool {
+	end := x.handler.shutdown.end.Load()
+	if end == nil || !x.fresh() || x.deadline.Before(*end) {
+		return false
+	}
+	d := g.ExpectedLatency
+	if x.route.Kind == route.Stream {
+		d = g.ExpectedDuration
+	}
+	return time.Now().Add(d).After(*end)
+}
+
 // refuseForShutdown refuses a request that another instance can serve at once.
 func (x *exchange) refuseForShutdown() result {
 	return x.refuse(http.StatusServiceUnavailable, shutdownReason, shortRetryAfter)
