--- /dev/null
+++ b/commands/gateway_test.go
@@ -0,0 +1,106 @@
+package commands
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"monsoondale/platform/fake"
+)
+
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Guards against a planned stop that signals interrupt or that does not end in time: right after the start, without endpoints,
+// without the store, and with further signals.
+func TestGatewaySignals(t *testing.T) {
+	const grace = 1200 * time.Millisecond
+	for i, c := range []struct {
+		name      string
+		endpoint  bool
+		storeDown bool
+		until     string // line in the log after which the process is stopped
+		request   bool   // a request runs
+		further   []syscall.Signal
+	}{
+		{name: "right after the start", endpoint: true, until: "starting"},
+		{name: "no endpoint is known", until: "ready"},
+		{name: "the store is down", storeDown: true, until: "store lost"},
+		{name: "a request runs", endpoint: true, until: "ready", request: true},
+		{name: "further signals", endpoint: true, until: "ready", request: true, further: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			store := fake.NewStore()
+			defer store.Close()
+			store.Put("config", "main", fake.Configuration(1, nil))
+			store.SetDown(c.storeDown)
+			if c.endpoint {
+				e := fake.NewEndpoint("e1", func(*http.Request) fake.Behaviour { return fake.Behaviour{Delay: 350 * time.Millisecond} })
+				defer e.Close()
+				store.Put("servers", e.ID, e.Entry("s", "ready", 4))
+			}
+			ip := fmt.Sprint("127.0.91.", i+1)
+			path := filepath.Join(t.TempDir(), "settings.toml")
+			g.Expect(os.WriteFile(path, []byte(fake.Settings("i", ip, "a", store.Address(), grace, 50)), 0o600)).To(Succeed())
+			out, code := &lockedBuffer{}, make(chan int, 1)
+			go func() { code <- execute([]string{"gateway", "--settings", path}, &streams{out: out, err: out}) }()
+			g.Eventually(out.String, "5s", "5ms").Should(ContainSubstring(fmt.Sprintf(`"msg":%q`, c.until)))
+			body := make(chan string, 1)
+			if c.request {
+				go func() { body <- sendOrder(ip + ":8000") }()
+				time.Sleep(100 * time.Millisecond)
+			}
+			stopping := time.Now()
+			g.Expect(syscall.Kill(os.Getpid(), syscall.SIGTERM)).To(Succeed())
+			for _, s := range c.further {
+				time.Sleep(30 * time.Millisecond)
+				g.Expect(syscall.Kill(os.Getpid(), s)).To(Succeed())
+			}
+			g.Eventually(code, "5s", "5ms").Should(Receive(Equal(exitOK)))
+			g.Expect(time.Since(stopping)).To(BeNumerically("<", grace))
+			g.Expect(out.String()).To(ContainSubstring(`"msg":"stopped","cut":0`))
+			if c.request {
+				g.Eventually(body).Should(Receive(Equal("answer to r1")))
+			}
+		})
+	}
+}
+
+// sendOrder sends an order to a gateway and returns the body of the response, or the error.
+func sendOrder(address string) string {
+	resp, err := (&http.Transport{}).RoundTrip(fake.NewRequest(address, "/once/", "r1", 3*time.Second))
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
