--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,29 +9,45 @@
 )
 
 const (
-	// balancerDelay is how long after a failing health check the load balancer may still send connections: it checks
-	// once a second and needs two failures.
-	balancerDelay = 3 * time.Second
-	// exitMargin is the time before SIGKILL at which the process exits, even if requests are still running.
-	exitMargin = 400 * time.Millisecond
+	// balancerDelay is how long after a failing health check new requests are served. The load balancer checks once a
+	// second and sends no more connections after two failures. The platform excuses work that is cut off at the end of the
+	// grace period if it was sent within three seconds of SIGTERM, which may be handled late.
+	balancerDelay = 2500 * time.Millisecond
+	// cutOffMargin is the time before SIGKILL at which the requests that are still running are cut off, and exitMargin the
+	// time before it at which the process exits even if their responses have not been written.
+	cutOffMargin = 600 * time.Millisecond
+	exitMargin   = 250 * time.Millisecond
+	// lingerTime is how long requests are answered on open connections after the last new one: http.Server.Shutdown closes
+	// connections without an answer from which it has just read a request.
+	lingerTime = 200 * time.Millisecond
 )
 
 // Stop shuts the gateway down. It fails the health checks, serves new requests until the load balancer has reacted, and
 // then waits for the requests in progress until shortly before the end of the grace period.
-func (g *Gateway) Stop() {
+func (g *Gateway) Stop() { g.stopOnce.Do(g.stop) }
+
+func (g *Gateway) stop() {
 	started := time.Now()
-	end := started.Add(g.o.Settings.ShutdownGrace - exitMargin)
+	grace := g.o.Settings.ShutdownGrace
+	cutOff := started.Add(max(grace-cutOffMargin, grace/2))
 	g.leaving.Store(true)
-	g.proxy.DisableKeepAlives()
-	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", g.o.Settings.ShutdownGrace.String())
-	time.Sleep(min(balancerDelay, max(time.Until(end)/2, 0)))
+	g.proxy.BeginShutdown(cutOff)
+	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", grace.String())
+	time.Sleep(min(balancerDelay, time.Until(cutOff)/2))
 	g.proxy.RefuseNew()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), cutOff)
 	defer cancel()
-	cut := 0
 	if !waitUntilZero(ctx, g.proxy.ActiveRequests) {
-		cut = g.proxy.ActiveRequests()
+		g.proxy.CutOff()
 	}
+	ctx, cancel = context.WithDeadline(context.Background(), cutOff.Add(cutOffMargin-exitMargin))
+	defer cancel()
+	waitUntilZero(ctx, g.proxy.ActiveRequests)
+	g.callers.Close() // fails only if it is closed already
+	linger, cancel := context.WithTimeout(ctx, lingerTime)
+	defer cancel()
+	waitUntilZero(linger, g.proxy.OpenConnections)
+	cut := g.proxy.CutRequests() + g.proxy.ActiveRequests()
 	for _, s := range g.servers {
 		// Waits for requests that have just been accepted, which are refused, until the deadline.
 		if err := s.Shutdown(ctx); err != nil {
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -128,8 +128,7 @@
 // Handler is the HTTP handler for requests of callers.
 type Handler struct {
 	o              Options
-	keepAlivesOff  atomic.Bool
-	refusing       atomic.Bool
+	shutdown       *shutdown
 	active         atomic.Int64
 	openConns      atomic.Int64 // number of open connections of callers
 	keepAliveLimit atomic.Int64 // number of open connections above which responses close them; 0 for no limit
@@ -139,17 +138,11 @@
 
 // New returns a Handler.
 func New(o Options) *Handler {
-	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
+	h := &Handler{o: o, shutdown: newShutdown(), stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
 	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
 	return h
 }
 
-// DisableKeepAlives makes all further responses ask the caller to close the connection. Requests are still served.
-func (h *Handler) DisableKeepAlives() { h.keepAlivesOff.Store(true) }
-
-// RefuseNew makes the handler refuse new requests, so that callers try another instance.
-func (h *Handler) RefuseNew() { h.refusing.Store(true) }
-
 // TrackConnections returns a hook for http.Server.ConnState that counts open connections. While more than keepAliveLimit
 // are open, responses ask the caller to close the connection.
 func (h *Handler) TrackConnections(keepAliveLimit int) func(net.Conn, http.ConnState) {
@@ -168,6 +161,9 @@
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int { return int(h.active.Load()) }
 
+// OpenConnections returns the number of open connections of callers, if they are tracked.
+func (h *Handler) OpenConnections() int { return int(h.openConns.Load()) }
+
 // exchange is the processing of one request of a caller.
 type exchange struct {
 	handler    *Handler
@@ -238,9 +234,6 @@
 	r = r.WithContext(ctx)
 	x := &exchange{handler: h, w: w, r: r, rc: http.NewResponseController(w), info: h.o.Headers.ParseRequest(r.Header), config: h.o.Config(), arrived: time.Now(), stage: stageArrival}
 	x.lastEventID = x.info.LastEventID
-	if limit := h.keepAliveLimit.Load(); h.keepAlivesOff.Load() || limit > 0 && h.openConns.Load() > limit {
-		w.Header().Set("Connection", "close")
-	}
 	defer x.recordPanic()
 	defer func() { h.memory.used.Add(-x.reserved) }()
 	result := x.serve()
@@ -248,6 +241,9 @@
 		x.recordCause(peerconn.ConfirmEnd(ctx, w))
 	}
 	x.recordRequest(result)
+	if result.reason == cutOffReason {
+		h.shutdown.cutCount.Add(1)
+	}
 	if result.abort {
 		// Closes the connection, so that the caller notices that the response is incomplete.
 		panic(http.ErrAbortHandler)
@@ -311,6 +307,7 @@
 	}
 	x.drainBody()
 	h := x.w.Header()
+	x.handler.setConnectionHeader(h)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
 	x.rc.SetWriteDeadline(time.Now().Add(writeGrace)) // fails only on closed connections
@@ -325,11 +322,11 @@
 	if x.body != nil || x.r.Body == nil || x.r.Body == http.NoBody {
 		return
 	}
-	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
+	stop := x.limitBodyRead()
+	defer stop()
 	if _, err := io.CopyN(io.Discard, x.r.Body, maxDrainBytes); err != io.EOF {
 		x.recordCause(err)
 	}
-	x.rc.SetReadDeadline(time.Time{})
 }
 
 // serve validates the request, selects its service, takes its quota and dispatches it.
@@ -338,8 +335,8 @@
 	if t == nil {
 		return x.refuse(http.StatusServiceUnavailable, "no configuration yet", startupRetryAfter)
 	}
-	if x.handler.refusing.Load() {
-		return x.refuse(http.StatusServiceUnavailable, "shutting down", shortRetryAfter)
+	if x.mustRefuse() {
+		return x.refuseForShutdown()
 	}
 	var ok bool
 	if x.route, ok = t.Match(x.r.Host, x.r.URL.EscapedPath()); !ok {
@@ -387,15 +384,18 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return result{}, true
 	}
-	x.rc.SetReadDeadline(x.arrived.Add(bodyTimeout)) // fails only on closed connections
+	stop := x.limitBodyRead()
 	b, err := x.readBuffered(x.r.Body, x.r.ContentLength, limit)
-	x.rc.SetReadDeadline(time.Time{})
+	stop()
 	switch {
 	case errors.Is(err, errBodyMemory):
 		x.cause = err
 		return x.refuse(http.StatusServiceUnavailable, "out of memory", shortRetryAfter), false
 	case errors.Is(err, errTooLarge):
 		return x.respondError(http.StatusRequestEntityTooLarge, "body too large"), false
+	case err != nil && x.isCutOff():
+		x.cause = err
+		return x.endForCutOff(), false
 	case err != nil:
 		x.cause = err
 		return x.respondError(http.StatusRequestTimeout, "body not received"), false
@@ -441,7 +441,7 @@
 // dispatch waits for an endpoint and sends the request. It retries at other endpoints, where that is allowed, until a
 // response has been relayed or no attempt is left.
 func (x *exchange) dispatch() result {
-	ctx, cancel := context.WithDeadlineCause(x.workContext(), x.deadline, errDeadline)
+	ctx, cancel := x.attemptContext()
 	defer cancel()
 	for {
 		a, r := x.nextAttempt(ctx)
@@ -490,6 +490,9 @@
 	if x.r.Context().Err() != nil {
 		return nil, x.endForCallerLeft()
 	}
+	if x.mustRefuse() {
+		return nil, x.refuseForShutdown()
+	}
 	x.stage = stageQueue
 	start := time.Now()
 	t := x.pool.Submit(start, x.poolRequest())
@@ -498,29 +501,47 @@
 	case d := <-t.Decided:
 		switch d := d.(type) {
 		case *pool.Grant:
-			if now := time.Now(); x.sends == 0 && x.takenUnits > 0 && now.Sub(x.takenAt) > moveUsageAfter {
-				x.handler.o.Budgets.MoveUsage(x.takenAt, x.workspace.ID, x.takenUnits)
-				x.takenAt = now
-			}
-			x.recordGrant(d)
-			return d, result{}
+			return x.acceptGrant(d)
 		case pool.Refusal:
 			x.poolState = d.State
 			return nil, x.failOrRefuse(d.Reason, d.RetryAfter)
 		}
 	case <-x.r.Context().Done():
-		if g := x.pool.Withdraw(time.Now(), t); g != nil {
-			x.pool.Release(time.Now(), g, pool.Cancelled)
-		}
+		x.withdraw(t)
 		return nil, x.endForCallerLeft()
+	case <-x.refusing():
+		x.withdraw(t)
+		return nil, x.refuseForShutdown()
 	case <-ctx.Done():
-		if g := x.pool.Withdraw(time.Now(), t); g != nil {
-			x.pool.Release(time.Now(), g, pool.Cancelled)
+		x.withdraw(t)
+		if errors.Is(context.Cause(ctx), errCutOff) {
+			return nil, x.endForCutOff()
 		}
 	}
 	return nil, x.failOrRefuse("deadline", shortRetryAfter)
 }
 
+// acceptGrant uses a grant, unless the request is to be refused because the handler is shutting down.
+func (x *exchange) acceptGrant(g *pool.Grant) (*pool.Grant, result) {
+	if x.mustRefuse() || x.outlastsShutdown(g) {
+		x.pool.Release(time.Now(), g, pool.Cancelled)
+		return nil, x.refuseForShutdown()
+	}
+	if now := time.Now(); x.sends == 0 && x.takenUnits > 0 && now.Sub(x.takenAt) > moveUsageAfter {
+		x.handler.o.Budgets.MoveUsage(x.takenAt, x.workspace.ID, x.takenUnits)
+		x.takenAt = now
+	}
+	x.recordGrant(g)
+	return g, result{}
+}
+
+// withdraw ends the wait for an endpoint.
+func (x *exchange) withdraw(t *pool.Ticket) {
+	if g := x.pool.Withdraw(time.Now(), t); g != nil {
+		x.pool.Release(time.Now(), g, pool.Cancelled)
+	}
+}
+
 // poolRequest returns the request as the pool sees it.
 func (x *exchange) poolRequest() pool.Request {
 	req := pool.Request{
