--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -128,7 +128,7 @@
 // Handler is the HTTP handler for requests of callers.
 type Handler struct {
 	o              Options
-	shutdown       *shutdown
+	shutdown       shutdown
 	active         atomic.Int64
 	openConns      atomic.Int64 // number of open connections of callers
 	keepAliveLimit atomic.Int64 // number of open connections above which responses close them; 0 for no limit
@@ -138,7 +138,8 @@
 
 // New returns a Handler.
 func New(o Options) *Handler {
-	h := &Handler{o: o, shutdown: newShutdown(), stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
+	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
+	h.shutdown.init()
 	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
 	return h
 }
--- a/io/proxy/shutdown.go
+++ b/io/proxy/shutdown.go
@@ -34,10 +34,9 @@
 	cutCount atomic.Int64
 }
 
-func newShutdown() *shutdown {
-	s := &shutdown{refusing: make(chan struct{})}
+func (s *shutdown) init() {
+	s.refusing = make(chan struct{})
 	s.cutOff, s.doCutOff = context.WithCancel(context.Background())
-	return s
 }
 
 // BeginShutdown makes all further responses ask the caller to close the connection. Requests are still served, except for those
