--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -12,7 +12,7 @@
 	// balancerDelay is how long after a failing health check new requests are served. The load balancer checks once a
 	// second and sends no more connections after two failures. The platform excuses work that is cut off at the end of the
 	// grace period if it was sent within three seconds of SIGTERM, which may be handled late.
-	balancerDelay = 2500 * time.Millisecond
+	balancerDelay = 2700 * time.Millisecond
 	// cutOffMargin is the time before SIGKILL at which the requests that are still running are cut off, and exitMargin the
 	// time before it at which the process exits even if their responses have not been written.
 	cutOffMargin = 600 * time.Millisecond
