io/proxy: no standby for a plan that the first endpoint has overtaken

What is seen: seldom, a stream is taken from an endpoint that has gone on, by a standby that was told to continue after the event before; its events come twice if their ids are not numbers (ORDER), else the standby counts as broken and a retry is lost.

Cause: while the timer of a pause waits for the pool, the endpoint may send the next event. The timer is stopped then, but what it had begun went on with the old last event. A standby now starts only for the plan in force.

--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -51,10 +51,11 @@
 type takeover struct {
 	mu       sync.Mutex
 	timer    *takeoverTimer
-	standby  *attempt   // may take the request over; nil if there is none
-	taken    bool       // standby has the request, and the attempt is cancelled
-	ended    bool       // no standby may start
-	standbys []*attempt // all that were started
+	plan     *standbyPlan // of the timer; nil if the endpoint has gone on since
+	standby  *attempt     // may take the request over; nil if there is none
+	taken    bool         // standby has the request, and the attempt is cancelled
+	ended    bool         // no standby may start
+	standbys []*attempt   // all that were started
 }
 
 // standbyState is the state of an attempt that began as a standby.
@@ -71,9 +72,10 @@
 	req         pool.Request
 	runs        int // possible runs, that of the attempt included
 	givenUp     []core.EndpointID
-	after       string // id of the last event relayed
-	status      int    // of the response that has begun; 0 if none has
-	contentType string // of the response that has begun
+	after       string       // id of the last event relayed
+	status      int          // of the response that has begun; 0 if none has
+	contentType string       // of the response that has begun
+	of          *standbyPlan // the plan that it is a copy of
 }
 
 // watchResponse lets a standby start unless the response begins in time. The attempt has not been counted as a run yet.
@@ -121,11 +123,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer.stop()
-	t.timer = nil
+	t.timer, t.plan = nil, nil
 	if !x.route.Retryable() || x.notResumable || len(x.tried) > maxTriedEndpoints || !p.mayRunElsewhere(x.route) {
 		return
 	}
-	t.timer = &takeoverTimer{}
+	t.timer, t.plan = &takeoverTimer{}, p
 	t.timer.start(d, f)
 }
 
@@ -168,6 +170,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := *p
+	c.of = p
 	c.req.Exclude, c.givenUp = slices.Clone(p.req.Exclude), slices.Clone(p.givenUp)
 	for _, b := range t.standbys {
 		id := b.grant.Endpoint.ID
@@ -193,7 +196,7 @@
 	x, t := a.x, &a.takeover
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ended || t.taken || t.standby != nil || len(p.req.Only) == 0 && slices.Contains(p.req.Exclude, g.Endpoint.ID) || !a.takeRetry() {
+	if t.ended || t.taken || t.standby != nil || t.plan != p.of || len(p.req.Only) == 0 && slices.Contains(p.req.Exclude, g.Endpoint.ID) || !a.takeRetry() {
 		return nil
 	}
 	b := x.newAttempt(a.parent, g, p.after, p.req.Exclude)
@@ -355,6 +358,7 @@
 		return false
 	}
 	t.timer.stop()
+	t.plan = nil
 	if t.standby != nil {
 		t.standby.cancel(errSuperseded)
 		t.standby = nil
--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -3,13 +3,19 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"monsoondale/common/framing"
+	"monsoondale/core"
+	"monsoondale/core/pool"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
 )
@@ -59,3 +65,49 @@
 	}
 	return 0, io.EOF
 }
+
+// Guards against a standby that continues a stream after an event that is no longer the last one: the first endpoint has gone on while
+// the standby was chosen.
+func TestNoStandbyForOldPlan(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		meantime func(a *attempt)
+		started  bool
+	}{
+		{"nothing has happened", func(*attempt) {}, true},
+		{"an event has been relayed", func(a *attempt) {
+			a.keepsRequest()
+			a.x.lastEventID = "3"
+			a.watchSilence()
+		}, false},
+		{"the response has begun", func(a *attempt) { a.keepsRequest() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pool.New(pool.Options{})
+			p.SetEndpoints(time.Now(), []pool.Endpoint{{ID: "e1", Slots: 1}, {ID: "e2", Slots: 1}})
+			x := &exchange{
+				handler: New(Options{Log: logr.Discard(), Metrics: metrics.NewRegistry(), Budgets: anyRetries{}}), pool: p, w: httptest.NewRecorder(),
+				route: &route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, deadline: time.Now().Add(time.Minute), lastEventID: "2", headerWritten: true,
+			}
+			a := x.newAttempt(t.Context(), p.Acquire(time.Now(), x.poolRequest()), "", nil)
+			x.tried, x.possibleRuns = []core.EndpointID{a.grant.Endpoint.ID}, 1
+			defer a.endTakeover(false)
+			plan := a.newPlan()
+			a.watch(plan, time.Hour, func() bool { return true })
+			plan = a.withStandbys(plan)
+			grant := p.Acquire(time.Now(), plan.req)
+			c.meantime(a)
+			b := a.newStandby(plan, grant)
+			if b != nil {
+				close(b.standby.opened)
+			}
+			g.Expect(b != nil).To(Equal(c.started))
+		})
+	}
+}
+
+// anyRetries allows all retries.
+type anyRetries struct{ Budgets }
+
+func (anyRetries) TakeRetry(route.Service) bool { return true }
