io/proxy: a panic while a standby is opened does not end the process

What would be seen: the process ends, and all its requests with it, if anything panics while a standby sends its request or reads the response. Such a panic has not been seen; TestPanicOfStandby makes one and failed before.

Cause: a standby runs in the goroutine of a timer, where net/http recovers nothing. Before, only the pool and the budgets ran there; now also the client, the headers of the platform and the scan of events do. The panic is logged and counted like one of a handler, and the standby counts as broken.

--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -262,12 +262,17 @@
 	case http.ErrAbortHandler:
 		panic(p)
 	default:
-		x.handler.stats.panics.Inc(1)
-		x.handler.o.Log.Info("panic", "request", x.info.ID, "stage", x.stage, "value", fmt.Sprint(p), "stack", string(debug.Stack()))
+		x.logPanic(p, x.stage)
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// logPanic logs the value and the stack of a panic at a stage of the request.
+func (x *exchange) logPanic(v any, s stage) {
+	x.handler.stats.panics.Inc(1)
+	x.handler.o.Log.Info("panic", "request", x.info.ID, "stage", s, "value", fmt.Sprint(v), "stack", string(debug.Stack()))
+}
+
 // delimitByClose makes the response end with the connection. It is called before the header is written.
 func (x *exchange) delimitByClose() {
 	x.closeDelimited = true
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -41,6 +41,7 @@
 var (
 	// errSuperseded is the cause of contexts of standbys that are not needed any more.
 	errSuperseded = errors.New("the first endpoint has responded")
+	errPanic      = errors.New("panic of a standby")
 	// errOverlapEnded is the cause of contexts of standbys that were silent for maxOverlap and did not get the request.
 	errOverlapEnded = errors.New("no response during the overlap")
 )
@@ -159,11 +160,24 @@
 	}
 	overlap := time.AfterFunc(maxOverlap, func() { a.endOverlap(b) })
 	defer overlap.Stop()
-	b.open(func() {})
-	o, err := b.prove(p)
+	o, err := b.openAndProve(p)
 	return a.settle(b, o, err)
 }
 
+// openAndProve sends the request of a standby and reads the beginning of the response. It runs in the goroutine of a timer, where a
+// panic would end the process.
+func (a *attempt) openAndProve(p *standbyPlan) (o pool.Outcome, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			a.x.logPanic(v, stageRun)
+			a.err = errPanic
+			o, err = pool.Broken, errPanic
+		}
+	}()
+	a.open(func() {})
+	return a.prove(p)
+}
+
 // withStandbys returns a copy of a plan that takes account of the standbys that have been started.
 func (a *attempt) withStandbys(p *standbyPlan) *standbyPlan {
 	t := &a.takeover
--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// Guards against the end of the process by a panic in the goroutine of a timer, which no handler recovers.
+func TestPanicOfStandby(t *testing.T) {
+	g := NewWithT(t)
+	p := pool.New(pool.Options{})
+	p.SetEndpoints(time.Now(), []pool.Endpoint{{ID: "e1", Slots: 1}, {ID: "e2", Slots: 1}})
+	x := &exchange{
+		handler: New(Options{Headers: panickingHeaders{}, Log: logr.Discard(), Metrics: metrics.NewRegistry(), Budgets: anyRetries{}}), pool: p,
+		r: httptest.NewRequest(http.MethodGet, "/", nil), route: &route.Route{Kind: route.Idempotent, Attempts: 2}, deadline: time.Now().Add(time.Minute),
+	}
+	a := x.newAttempt(t.Context(), p.Acquire(time.Now(), x.poolRequest()), "", nil)
+	plan := a.newPlan()
+	a.watch(plan, time.Hour, func() bool { return true })
+	g.Expect(func() { a.tryStandby(plan) }).ToNot(Panic())
+	g.Expect(x.handler.stats.panics.Count()).To(Equal(int64(1)))
+	a.endTakeover(false)
+	a.release(pool.Served)
+	free, slots := p.Free(time.Now())
+	g.Expect(free).To(Equal(slots), "slots are released")
+}
+
 // anyRetries allows all retries.
 type anyRetries struct{ Budgets }
 
