--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -41,6 +41,7 @@
 var (
 	// errSuperseded is the cause of contexts of standbys that are not needed any more.
 	errSuperseded = errors.New("the first endpoint has responded")
+	errPanic      = errors.New("panic of a standby")
 	// errOverlapEnded is the cause of contexts of standbys that were silent for maxOverlap and did not get the request.
 	errOverlapEnded = errors.New("no response during the overlap")
 )
@@ -51,10 +52,11 @@
 type takeover struct {
 	mu       sync.Mutex
 	timer    *takeoverTimer
-	standby  *attempt   // may take the request over; nil if there is none
-	taken    bool       // standby has the request, and the attempt is cancelled
-	ended    bool       // no standby may start
-	standbys []*attempt // all that were started
+	plan     *standbyPlan // of the timer; nil if the endpoint has gone on since
+	standby  *attempt     // may take the request over; nil if there is none
+	taken    bool         // standby has the request, and the attempt is cancelled
+	ended    bool         // no standby may start
+	standbys []*attempt   // all that were started
 }
 
 // standbyState is the state of an attempt that began as a standby.
@@ -71,9 +73,10 @@
 	req         pool.Request
 	runs        int // possible runs, that of the attempt included
 	givenUp     []core.EndpointID
-	after       string // id of the last event relayed
-	status      int    // of the response that has begun; 0 if none has
-	contentType string // of the response that has begun
+	after       string       // id of the last event relayed
+	status      int          // of the response that has begun; 0 if none has
+	contentType string       // of the response that has begun
+	of          *standbyPlan // the plan that it is a copy of
 }
 
 // watchResponse lets a standby start unless the response begins in time. The attempt has not been counted as a run yet.
@@ -121,11 +124,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer.stop()
-	t.timer = nil
+	t.timer, t.plan = nil, nil
 	if !x.route.Retryable() || x.notResumable || len(x.tried) > maxTriedEndpoints || !p.mayRunElsewhere(x.route) {
 		return
 	}
-	t.timer = &takeoverTimer{}
+	t.timer, t.plan = &takeoverTimer{}, p
 	t.timer.start(d, f)
 }
 
@@ -157,17 +160,31 @@
 	}
 	overlap := time.AfterFunc(maxOverlap, func() { a.endOverlap(b) })
 	defer overlap.Stop()
-	b.open(func() {})
-	o, err := b.prove(p)
+	o, err := b.openAndProve(p)
 	return a.settle(b, o, err)
 }
 
+// openAndProve sends the request of a standby and reads the beginning of the response. It runs in the goroutine of a timer, where a
+// panic would end the process.
+func (a *attempt) openAndProve(p *standbyPlan) (o pool.Outcome, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			a.x.logPanic(v, stageRun)
+			a.err = errPanic
+			o, err = pool.Broken, errPanic
+		}
+	}()
+	a.open(func() {})
+	return a.prove(p)
+}
+
 // withStandbys returns a copy of a plan that takes account of the standbys that have been started.
 func (a *attempt) withStandbys(p *standbyPlan) *standbyPlan {
 	t := &a.takeover
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := *p
+	c.of = p
 	c.req.Exclude, c.givenUp = slices.Clone(p.req.Exclude), slices.Clone(p.givenUp)
 	for _, b := range t.standbys {
 		id := b.grant.Endpoint.ID
@@ -193,7 +210,7 @@
 	x, t := a.x, &a.takeover
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ended || t.taken || t.standby != nil || len(p.req.Only) == 0 && slices.Contains(p.req.Exclude, g.Endpoint.ID) || !a.takeRetry() {
+	if t.ended || t.taken || t.standby != nil || t.plan != p.of || len(p.req.Only) == 0 && slices.Contains(p.req.Exclude, g.Endpoint.ID) || !a.takeRetry() {
 		return nil
 	}
 	b := x.newAttempt(a.parent, g, p.after, p.req.Exclude)
@@ -355,6 +372,7 @@
 		return false
 	}
 	t.timer.stop()
+	t.plan = nil
 	if t.standby != nil {
 		t.standby.cancel(errSuperseded)
 		t.standby = nil
