--- a/io/proxy/panic_test.go
+++ b/io/proxy/panic_test.go
@@ -19,7 +19,7 @@
 
 func (panickingBudgets) CountRequest(route.Service) { panic("out of order") }
 
-// fixedHeaders is a HeaderCodec for which all requests are the same.
+// fixedHeaders is a HeaderCodec for which all requests are the same. Its other methods panic.
 type fixedHeaders struct{ HeaderCodec }
 
 func (fixedHeaders) ParseRequest(http.Header) RequestInfo { return RequestInfo{ID: "r1"} }
--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -113,7 +113,7 @@
 	p := pool.New(pool.Options{})
 	p.SetEndpoints(time.Now(), []pool.Endpoint{{ID: "e1", Slots: 1}, {ID: "e2", Slots: 1}})
 	x := &exchange{
-		handler: New(Options{Headers: panickingHeaders{}, Log: logr.Discard(), Metrics: metrics.NewRegistry(), Budgets: anyRetries{}}), pool: p,
+		handler: New(Options{Headers: fixedHeaders{}, Log: logr.Discard(), Metrics: metrics.NewRegistry(), Budgets: anyRetries{}}), pool: p,
 		r: httptest.NewRequest(http.MethodGet, "/", nil), route: &route.Route{Kind: route.Idempotent, Attempts: 2}, deadline: time.Now().Add(time.Minute),
 	}
 	a := x.newAttempt(t.Context(), p.Acquire(time.Now(), x.poolRequest()), "", nil)
