gateway: leave services that no route leads to out of digests

Instances fell silent to each other when entries in the store named many services, or ones with long names: there was a pool for each of them, each pool was reported in each digest, and a digest that exceeds a datagram is not sent. Pools were never removed, so a writer that names a new service with each write also used up memory.

Digests and summaries now report the pools of services that a route leads to. Other pools are removed with their last entry.

TestEntriesOfUnknownServices failed without the change (one of two instances was never heard).

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -146,11 +146,13 @@
 	o     Options
 	hosts map[string]map[string]*Route
 	keys  map[string]*Workspace
+	// services are those that the routes lead to.
+	services map[Service]bool
 }
 
 // New returns the Table of a configuration.
 func New(o Options) *Table {
-	t := &Table{o: o, hosts: map[string]map[string]*Route{}, keys: map[string]*Workspace{}}
+	t := &Table{o: o, hosts: map[string]map[string]*Route{}, keys: map[string]*Workspace{}, services: map[Service]bool{}}
 	for i := range o.Routes {
 		r := &o.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -158,6 +160,9 @@
 			t.hosts[host] = map[string]*Route{}
 		}
 		t.hosts[host][r.Prefix] = r
+		for _, target := range r.Targets {
+			t.services[target.Service] = true
+		}
 	}
 	for i := range o.Workspaces {
 		for _, k := range o.Workspaces[i].Keys {
@@ -170,6 +175,9 @@
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.o.Version }
 
+// Uses reports whether a route leads to a service.
+func (t *Table) Uses(s Service) bool { return t.services[s] }
+
 // Limits returns the limits on requests.
 func (t *Table) Limits() Limits { return t.o.Limits }
 
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -47,6 +47,9 @@
 	if state {
 		d := g.newDigest(g.fleet.Interval())
 		for s, p := range g.pools {
+			if !g.uses(s) {
+				continue
+			}
 			d.Pools = append(d.Pools, encodeReport(s, p.TakeReport()))
 		}
 		g.budgets.mu.Lock()
@@ -64,6 +67,10 @@
 	}
 }
 
+// uses reports whether requests are sent to a service. Entries of endpoints may name any number of other services, which
+// must not fill the digests.
+func (g *Gateway) uses(s route.Service) bool { return g.table != nil && g.table.Uses(s) }
+
 // newDigest returns a digest without loads and usage.
 func (g *Gateway) newDigest(every time.Duration) wire.Digest {
 	g.digestNumber++
@@ -84,6 +91,9 @@
 		Routes: d.Routes, Entries: d.Entries, Members: d.Members,
 	}
 	for name, p := range g.pools {
+		if !g.uses(name) {
+			continue
+		}
 		r := p.CentreReport(now)
 		w.Age = max(w.Age, int(r.Age.Milliseconds()))
 		w.Pools = append(w.Pools, encodeReport(name, r))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -463,6 +463,9 @@
 	}
 	for s, p := range g.pools {
 		p.SetEndpoints(now, lists[s])
+		if len(lists[s]) == 0 && !g.uses(s) {
+			delete(g.pools, s)
+		}
 	}
 	g.client.CloseIdleExcept(func(a string) bool { return addresses[a] })
 	g.log.Info("endpoints in force", "endpoints", len(addresses), "leaving", leaving, "revision", g.mirrors[Endpoints].LastChange(), "from", source)
