platform, gateway: decode the store's entries one by one

Seen by operators: after another writer had left one odd entry, instances no longer followed the list of endpoints, or never became ready.

Cause: a page of a list, or the events of a watch, is one JSON document. One entry that encoding/json refuses (nested more than 10,000 deep, a raw NUL byte, a field of an event with another type) made the document fail, and with it every list and every watch.

- An entry whose name or revision could not be read was dropped from a watch without notice, so the endpoint that it had replaced stayed in use.
- A revision far above the store's was taken for the state of the mirror.
The instances that take copies then never saw a newer one again.
- A page without a readable name ended a list as if it were complete, and the endpoints behind it were removed.
A page that ended with an earlier name, and more than 16 MB of large entries, made each list fail.
- A nested or large body that was kept could fail in the copy for others.

If they cannot be read, or the revision is above the store's, a watch is followed by a list, in which the former entry is missing. A list that nothing tells how to continue adds to what is known and removes nothing, also in copies for others.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -12,13 +12,18 @@
 
 // Item is one object of a collection. Body is its content in the store's encoding.
 type Item struct {
-	Name     string
-	Revision core.Revision // revision of the last change
+	Name     string        // empty if it could not be read
+	Revision core.Revision // revision of the last change; 0 if it could not be read
 	Body     []byte
 	// Deleted marks an object that was removed from the store.
 	Deleted bool
+	// Unreadable is the reason why the name, the revision or the content could not be read; empty if they could.
+	Unreadable string
 }
 
+// Identified reports whether it is known which object this is. Items of which it is not known must not be applied.
+func (it *Item) Identified() bool { return it.Name != "" && it.Revision > 0 }
+
 // Options configures a Mirror.
 type Options struct {
 	// Grace is how long an object is kept that is missing after an outage of the store, because it may be written
@@ -39,6 +44,7 @@
 	rev        core.Revision // all changes up to this revision are known
 	lastChange core.Revision // revision of the newest change that was applied
 	synced     bool
+	partial    bool // objects may be missing
 	// removals are the latest removals, oldest first; all removals after completeSince are among them.
 	removals      []Item
 	completeSince core.Revision
@@ -53,6 +59,9 @@
 // Synced reports whether a complete list has been received.
 func (m *Mirror) Synced() bool { return m.synced }
 
+// Partial reports whether the mirror has received no list of all objects, but one of a part of them.
+func (m *Mirror) Partial() bool { return m.partial }
+
 // Revision returns the revision up to which all changes are known.
 func (m *Mirror) Revision() core.Revision { return m.rev }
 
@@ -89,7 +98,18 @@
 	if !m.synced {
 		m.completeSince = rev
 	}
-	m.rev, m.synced = rev, true
+	m.rev, m.synced, m.partial = rev, true, false
+	return changed
+}
+
+// Merge applies a list of a part of the objects as of a revision, and reports whether anything changed. Objects that are
+// missing in the list are kept.
+func (m *Mirror) Merge(now time.Time, items []Item, rev core.Revision, afterOutage bool) bool {
+	if m.synced {
+		return m.Apply(now, items, rev, afterOutage)
+	}
+	changed := m.Replace(now, items, rev, afterOutage)
+	m.partial = true
 	return changed
 }
 
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -62,3 +62,17 @@
 	g.Expect(m.Expire(begin.Add(time.Second))).To(BeTrue())
 	g.Expect(names(m)).To(Equal([]string{"a"}), "written again within the grace period")
 }
+
+// Guards against removing objects that a list lacks because they could not be read, and against never having a list.
+func TestPartialList(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New(mirror.Options{})
+	g.Expect(m.Merge(begin, []mirror.Item{item("a", 1)}, 2, false)).To(BeTrue())
+	g.Expect([]bool{m.Synced(), m.Partial()}).To(Equal([]bool{true, true}))
+	m.Apply(begin, []mirror.Item{item("b", 3)}, 3, false)
+	g.Expect(m.Merge(begin, []mirror.Item{item("a", 4)}, 4, false)).To(BeTrue())
+	g.Expect(names(m)).To(Equal([]string{"a", "b"}))
+	g.Expect(m.Replace(begin, []mirror.Item{item("a", 4)}, 5, false)).To(BeTrue())
+	g.Expect(names(m)).To(Equal([]string{"a"}))
+	g.Expect(m.Partial()).To(BeFalse())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,8 @@
 	forward           []wire.Summary          // to be passed on within the data centre
 	pools             map[route.Service]*pool.Pool
 	table             *route.Table
-	loggedUndecodable map[string]core.Revision   // revisions of the entries of endpoints whose decoding error was logged
+	skipped           [collectionCount]skipped   // entries that could not be decoded
+	unidentified      [collectionCount]skipped   // entries of the last list of which it is not known which object they are
 	behindSince       [collectionCount]time.Time // since when another instance has a newer revision; zero if none has
 	fetching          [collectionCount]bool      // a copy is being fetched from another instance
 	digestNumber      int
@@ -119,10 +120,9 @@
 		o: o, log: o.Log, start: time.Now().Truncate(time.Millisecond),
 		metrics: metrics.NewRegistry(),
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
-		pools:             map[route.Service]*pool.Pool{},
-		loggedUndecodable: map[string]core.Revision{},
-		addresses:         map[string]*net.UDPAddr{},
-		fleet:             fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
+		pools:     map[route.Service]*pool.Pool{},
+		addresses: map[string]*net.UDPAddr{},
+		fleet:     fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
 	g.budgets = newBudgets(g.start, s)
 	for c := range collectionCount {
@@ -244,7 +244,7 @@
 		return previous
 	}
 	items := m.Items()
-	w := &wire.Copy{Revision: int(m.Revision()), Items: make([]wire.Item, 0, len(items))}
+	w := &wire.Copy{Revision: int(m.Revision()), Partial: m.Partial(), Items: make([]wire.Item, 0, len(items))}
 	for _, it := range items {
 		w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
 	}
@@ -358,7 +358,7 @@
 			g.log.Info("cannot fetch copy", "collection", c.String(), "from", m.Name, "cause", err.Error())
 			sleep(ctx, fetchRetryDelay/2+rand.N(fetchRetryDelay))
 		} else {
-			u.rev, u.complete = core.Revision(w.Revision), !w.Partial
+			u.rev, u.complete, u.list = core.Revision(w.Revision), !w.Partial, since == 0
 			for _, it := range w.Items {
 				u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Body: it.Body})
 			}
@@ -383,11 +383,15 @@
 		}
 	}
 	m := g.mirrors[u.collection]
+	items := g.identified(u)
 	var changed bool
-	if u.complete {
-		changed = m.Replace(now, u.items, u.rev, u.afterOutage)
-	} else {
-		changed = m.Apply(now, u.items, u.rev, u.afterOutage)
+	switch {
+	case u.complete:
+		changed = m.Replace(now, items, u.rev, u.afterOutage)
+	case u.list:
+		changed = m.Merge(now, items, u.rev, u.afterOutage)
+	default:
+		changed = m.Apply(now, items, u.rev, u.afterOutage)
 	}
 	g.revisions[u.collection].Store(int64(m.Revision()))
 	if changed {
@@ -418,10 +422,11 @@
 
 // activateConfiguration applies, in turn, each configuration in the list that is not older than the current one.
 func (g *Gateway) activateConfiguration(now time.Time, items []mirror.Item, source string) {
+	var odd skipped
 	for _, it := range items {
 		t, err := g.o.Store.Table(it)
 		if err != nil {
-			g.log.Error(err, "cannot decode configuration", "name", it.Name, "revision", it.Revision)
+			odd.add(it, err.Error())
 			continue
 		}
 		if t == nil || g.table != nil && t.Version() < g.table.Version() {
@@ -433,6 +438,7 @@
 		g.budgets.mu.Unlock()
 		g.log.Info("configuration in force", "version", t.Version(), "revision", it.Revision, "from", source)
 	}
+	g.skipped[Configurations].replace(g.log, Configurations, odd)
 	g.publishConfig()
 }
 
@@ -441,13 +447,11 @@
 	lists := map[route.Service][]pool.Endpoint{}
 	addresses := map[string]bool{}
 	leaving := 0
+	var odd skipped
 	for _, it := range items {
 		s, e, err := g.o.Store.Endpoint(it)
 		if err != nil {
-			if g.loggedUndecodable[it.Name] != it.Revision {
-				g.loggedUndecodable[it.Name] = it.Revision
-				g.log.Info("entry skipped", "name", it.Name, "revision", it.Revision, "cause", err.Error())
-			}
+			odd.add(it, err.Error())
 			continue
 		}
 		lists[s] = append(lists[s], e)
@@ -456,6 +460,7 @@
 			leaving++
 		}
 	}
+	g.skipped[Endpoints].replace(g.log, Endpoints, odd)
 	for s := range lists {
 		if g.pools[s] == nil {
 			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s)})
@@ -487,14 +492,16 @@
 // activateMembers applies the list of instances.
 func (g *Gateway) activateMembers(now time.Time, items []mirror.Item) {
 	list := make([]fleet.Member, 0, len(items))
+	var odd skipped
 	for _, it := range items {
 		entry, err := g.o.Store.InstanceEntry(it)
 		if err != nil {
-			g.log.Info("entry skipped", "name", it.Name, "revision", it.Revision, "cause", err.Error())
+			odd.add(it, err.Error())
 			continue
 		}
 		list = append(list, fleet.Member(entry))
 	}
+	g.skipped[Instances].replace(g.log, Instances, odd)
 	g.fleet.List(now, list)
 }
 
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -31,6 +31,9 @@
 // collection must then be listed.
 var ErrHistoryDropped = errors.New("history dropped by the store")
 
+// ErrIncomplete is returned by Store.List, together with objects, if there may be others that cannot be read.
+var ErrIncomplete = errors.New("list incomplete")
+
 // InstanceEntry is the entry of an instance in the store.
 type InstanceEntry struct {
 	Name    core.InstanceID
@@ -43,7 +46,8 @@
 
 // Store gives access to the objects in the platform's store.
 type Store interface {
-	// List returns all objects of a collection and the store's revision.
+	// List returns all objects of a collection and the store's revision. With ErrIncomplete, it returns a part of the objects.
+	// Objects that cannot be read are returned as far as they can, see mirror.Item; so does Watch.
 	List(ctx context.Context, c Collection) ([]mirror.Item, core.Revision, error)
 	// Watch waits up to the given time for changes after a revision, or returns ErrHistoryDropped.
 	Watch(ctx context.Context, c Collection, since core.Revision, wait time.Duration) ([]mirror.Item, core.Revision, error)
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -45,7 +46,8 @@
 	collection  Collection
 	items       []mirror.Item
 	rev         core.Revision
-	complete    bool   // items holds all objects rather than changes
+	list        bool   // items holds objects rather than changes
+	complete    bool   // items holds all objects
 	afterOutage bool   // the store was unavailable shortly before
 	source      string // "store", or the name of the instance whose copy was fetched
 }
@@ -62,6 +64,7 @@
 
 	rev         core.Revision
 	hasBaseline bool      // all objects as of rev are known, so that the collection can be watched from there
+	incomplete  string    // why the last list was incomplete; empty if it was not
 	outageStart time.Time // start of the current outage; zero if there is none
 	outageEnd   time.Time // end of the last outage of at least minOutage
 }
@@ -90,7 +93,7 @@
 			if w.outageStart.IsZero() {
 				w.outageStart = time.Now()
 				w.unreadableCollections.Add(1)
-				w.log.Info("store lost", "collection", w.collection.String(), "revision", w.rev, "cause", err.Error())
+				w.log.Info("store lost", "collection", w.collection.String(), "revision", w.rev, "cause", shorten(err.Error(), maxLoggedCause))
 			}
 			// After an error, endpoints are listed again. Other collections are watched again from the last revision.
 			w.hasBaseline = w.hasBaseline && w.collection != Endpoints
@@ -113,14 +116,7 @@
 
 // fetch makes one call to the store and forwards the result.
 func (w *storeWatcher) fetch(ctx context.Context) error {
-	u := update{collection: w.collection, source: "store"}
-	var err error
-	if w.hasBaseline {
-		u.items, u.rev, err = w.store.Watch(ctx, w.collection, w.rev, w.watchDuration(time.Now()))
-	} else {
-		u.complete = true
-		u.items, u.rev, err = w.store.List(ctx, w.collection)
-	}
+	u, err := w.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -130,7 +126,7 @@
 	}
 	u.afterOutage = !w.outageEnd.IsZero() && now.Sub(w.outageEnd) < recoveryPeriod
 	w.rev, w.hasBaseline = max(w.rev, u.rev), true
-	if len(u.items) == 0 && !u.complete {
+	if len(u.items) == 0 && !u.list {
 		return nil
 	}
 	select {
@@ -140,6 +136,37 @@
 	return nil
 }
 
+// read returns changes of the collection, or a list of its objects.
+func (w *storeWatcher) read(ctx context.Context) (update, error) {
+	u := update{collection: w.collection, source: "store"}
+	var err error
+	if w.hasBaseline {
+		u.items, u.rev, err = w.store.Watch(ctx, w.collection, w.rev, w.watchDuration(time.Now()))
+		if err != nil || !w.mustList(u.items) {
+			return u, err
+		}
+	}
+	changes := u.items
+	u.items, u.rev, err = w.store.List(ctx, w.collection)
+	u.complete, u.list = err == nil, true
+	cause := ""
+	if errors.Is(err, ErrIncomplete) {
+		cause, err = err.Error(), nil
+		u.items = append(u.items, changes...)
+	}
+	if cause != "" && cause != w.incomplete {
+		w.log.Info("list incomplete", "collection", w.collection.String(), "revision", u.rev, "cause", shorten(cause, maxLoggedCause))
+	}
+	w.incomplete = cause
+	return u, err
+}
+
+// mustList reports whether a list is needed to apply changes: they may concern objects that the changes do not name, or that
+// the last list lacked.
+func (w *storeWatcher) mustList(changes []mirror.Item) bool {
+	return w.incomplete != "" && len(changes) > 0 || slices.ContainsFunc(changes, func(it mirror.Item) bool { return !it.Identified() })
+}
+
 // watchDuration returns the duration of the next watch: until the next renewal time of this instance that is at least
 // half a watchPeriod away. Renewal times are multiples of watchPeriod since the Unix epoch, plus an offset that depends
 // on watcherIndex. The list of instances is watched for instanceWatchDuration.
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -6,7 +6,8 @@
 
 // Copy is an instance's copy of a collection as of Revision. If Partial, Items are
 // those that changed after the revision that was asked for, and Gone those that
-// were removed.
+// were removed; if none was asked for, Items are those that the instance could
+// read.
 type Copy struct {
 	// Gone corresponds to the JSON schema field "gone".
 	Gone []Item `json:"gone,omitempty,omitzero"`
