io/mesh: decode the items of a copy one by one

An instance that takes copies of others would have followed nothing any more if one item of a copy could not be decoded, as a copy is one JSON document; during an update, copies also come from instances that keep what this one does not.

Items are now decoded one by one if the copy cannot be decoded as a whole.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -176,5 +176,6 @@
 	if err != nil {
 		return c, errors.Wrap(err, "read copy")
 	}
-	return c, errors.Wrap(json.Unmarshal(b, &c), "decode copy")
+	c, err = decodeCopy(b)
+	return c, errors.Wrap(err, "decode copy")
 }
