core/pool: the probe of a suspended endpoint ends with the first event

What is seen: an endpoint that was silent for a second or so is suspended after three streams, at all instances of the data centre. After that it gets one request at a time until the probe has ended. If the probe is a stream of ten seconds, the endpoint stays all but empty for as long, while requests wait or are refused.

TestProbeEndsWithFirstEvent failed before. The first event shows that the endpoint serves requests; the next request may then probe it, also one at a time, until one has been served. A probe that breaks after its first event suspends the endpoint again.

go test ./core/pool: only TestQueueAtReturningEngines fails (known red), with 12 requests as before.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -272,6 +272,7 @@
 	g.responseBegan = true
 	g.endpointState.lastResponse = now
 	g.endpointState.pendingPrompt -= g.req.Prompt
+	g.endProbe()
 	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
 	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
@@ -311,9 +312,7 @@
 	if !g.responseBegan {
 		e.pendingPrompt -= g.req.Prompt
 	}
-	if g.probe {
-		e.probing = false
-	}
+	g.endProbe()
 	p.updateAndLog(now, e, func() { e.recordOutcome(now, o) })
 	if (o == Broken || o == Unreachable) && len(p.failures) < maxReportEntries {
 		p.failures = append(p.failures, e.ID)
@@ -326,6 +325,13 @@
 	p.assign(now)
 }
 
+// endProbe lets the next request probe the endpoint of a grant.
+func (g *Grant) endProbe() {
+	if g.probe {
+		g.probe, g.endpointState.probing = false, false
+	}
+}
+
 // updateAndLog runs an update of an endpoint's failure rate and suspension, and logs a suspension or its end.
 func (p *Pool) updateAndLog(now time.Time, e *endpointState, update func()) {
 	suspendedUntil, suspensions := e.suspendedUntil, e.consecutiveSuspensions
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -351,3 +351,22 @@
 		})
 	}
 }
+
+// Guards against an endpoint that serves one stream at a time after a short silence, because its probe is a long stream.
+func TestProbeEndsWithFirstEvent(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(endpoints(1, 8))
+	for range 3 {
+		p.Release(begin, p.Acquire(begin, request(1, begin)), pool.Broken)
+	}
+	g.Expect(p.Acquire(begin, request(1, begin))).To(BeNil(), "suspended")
+	now := begin.Add(time.Second)
+	probe := p.Acquire(now, request(1, now))
+	g.Expect(probe).ToNot(BeNil())
+	g.Expect(p.Acquire(now, request(1, now))).To(BeNil(), "the probe has not responded")
+	p.RecordFirstEvent(now, probe)
+	second := p.Acquire(now, request(1, now))
+	g.Expect(second).ToNot(BeNil())
+	p.Release(now, probe, pool.Broken)
+	g.Expect(p.Acquire(now, request(1, now))).To(BeNil(), "suspended again")
+}
