io/proxy: a request waits for the endpoint that it returns to

What is seen: a stream pauses, is given to an endpoint that fails, and returns; its own endpoint is full for a second and rejects it.

A request that has used its attempts can only return; it now tries every 200 ms, within the retry budget. If another endpoint has the address by now, there is no endpoint to return to, and the request ends as before.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -253,15 +253,35 @@
 		a.endTakeover(false)
 		return x.failOrRefuse("deadline", shortRetryAfter), false
 	case a.claimStandby():
+	case x.possibleRuns >= x.route.Attempts && !a.canReturn():
+		return x.failOrRefuse(reason+", attempts exhausted", rejectedRetryAfter), false
 	case x.sends > 0 && !a.takeRetry():
 		return x.failOrRefuse(reason+", repeats exhausted", rejectedRetryAfter), false
+	case x.possibleRuns >= x.route.Attempts:
+		// The endpoint may be full for a moment, and the request can go nowhere else.
+		select {
+		case <-time.After(returnInterval):
+		case <-a.parent.Done():
+		}
 	case len(x.tried) > maxTriedEndpoints:
 		return x.failOrRefuse(reason, rejectedRetryAfter), false
 	}
 	return result{reason: reason}, true
 }
 
+// canReturn reports whether the request may return to an endpoint that was given up, which this one is not any more if its address has
+// moved.
+func (a *attempt) canReturn() bool {
+	x := a.x
+	if a.outcome == pool.Moved {
+		x.givenUp = slices.DeleteFunc(x.givenUp, func(id core.EndpointID) bool { return id == a.grant.Endpoint.ID })
+	}
+	return len(x.givenUp) > 0
+}
+
 const (
+	// returnInterval is the time between two tries to return to an endpoint that was given up.
+	returnInterval = 200 * time.Millisecond
 	// rejectedRetryAfter is the Retry-After of a request that no endpoint accepted. Endpoints that reject requests by
 	// mistake are suspended within that time.
 	rejectedRetryAfter = 300 * time.Millisecond
