--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -274,6 +274,7 @@
 	g.responseBegan = true
 	g.endpointState.lastResponse = now
 	g.endpointState.pendingPrompt -= g.req.Prompt
+	g.endProbe()
 	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
 	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
@@ -313,9 +314,7 @@
 	if !g.responseBegan {
 		e.pendingPrompt -= g.req.Prompt
 	}
-	if g.probe {
-		e.probing = false
-	}
+	g.endProbe()
 	p.updateAndLog(now, e, func() { e.recordOutcome(now, o) })
 	if (o == Broken || o == Unreachable) && len(p.failures) < maxReportEntries {
 		p.failures = append(p.failures, e.ID)
@@ -328,6 +327,13 @@
 	p.assign(now)
 }
 
+// endProbe lets the next request probe the endpoint of a grant.
+func (g *Grant) endProbe() {
+	if g.probe {
+		g.probe, g.endpointState.probing = false, false
+	}
+}
+
 // updateAndLog runs an update of an endpoint's failure rate and suspension, and logs a suspension or its end.
 func (p *Pool) updateAndLog(now time.Time, e *endpointState, update func()) {
 	suspendedUntil, suspensions := e.suspendedUntil, e.consecutiveSuspensions
