io/proxy: an error of a standby does not end a request that its first endpoint may serve

Callers got 404, or a stream without its rest, although the first endpoint, silent for a second, would have served them: a 4xx counted as a response of the standby, at once or, with a standby that had been handed the request after 250 ms, when it arrived.

Such a response is now treated like a 500: the request goes on elsewhere, or returns, and the response is relayed if nothing better comes. The body of a rejection is read, so that its connection can be used again.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -338,7 +338,9 @@
 func (a *attempt) relayBuffered() (result, bool) {
 	x, resp := a.x, a.resp
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	if !failed && !a.keepsRequest() {
+	// An error says little if another endpoint has sent a part of the response, or was given up and may be sound.
+	retriable := failed || !a.succeeded() && (x.headerWritten || len(x.givenUp) > 0)
+	if !retriable && !a.keepsRequest() {
 		return a.handleFailedAttempt(errNoResponse)
 	}
 	a.recordResponseStart()
@@ -353,7 +355,7 @@
 	}
 	w := &bufferedResponse{status: resp.StatusCode, header: resp.Header, framing: resp.Framing, body: b}
 	switch {
-	case failed && a.takeServerErrorRetry():
+	case retriable && a.takeErrorRetry():
 		if !x.headerWritten {
 			x.fallback = w
 		}
@@ -372,9 +374,9 @@
 	body    []byte
 }
 
-// takeServerErrorRetry reports whether a request to which an endpoint has responded with a server error may be retried,
-// and takes the retry from the budget if so.
-func (a *attempt) takeServerErrorRetry() bool {
+// takeErrorRetry reports whether a request to which an endpoint has responded with an error may be retried, and takes the retry from
+// the budget if so.
+func (a *attempt) takeErrorRetry() bool {
 	x := a.x
 	if time.Until(x.deadline) <= max(a.grant.ExpectedLatency, minTimeForRetry) {
 		return false
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -161,6 +162,9 @@
 	overlap := time.AfterFunc(maxOverlap, func() { a.endOverlap(b) })
 	defer overlap.Stop()
 	o, err := b.openAndProve(p)
+	if b.resp != nil && !b.mayHaveRun() {
+		b.discardBody()
+	}
 	return a.settle(b, o, err)
 }
 
@@ -299,8 +303,11 @@
 	if err := a.failure(); err != nil {
 		return pool.Broken, err
 	}
-	if a.resp.StatusCode >= 500 {
-		return pool.ServerError, errors.Errorf("status %d", a.resp.StatusCode)
+	switch status := a.resp.StatusCode; {
+	case status >= http.StatusInternalServerError:
+		return pool.ServerError, errors.Errorf("status %d", status)
+	case !a.succeeded(): // the first endpoint may do better
+		return pool.Served, errors.Errorf("status %d", status)
 	}
 	begun := p.status != 0
 	if begun && (a.resp.StatusCode != p.status || a.resp.Header.Get("Content-Type") != p.contentType) {
