--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -13,6 +13,7 @@
 type link struct {
 	l      net.Listener
 	target string
+	harms  periods
 
 	mu    sync.Mutex
 	state linkState
@@ -57,6 +58,7 @@
 func (k *link) reset(share float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	defer k.harms.begin()()
 	for c := range k.conns {
 		if rand.Float64() < share {
 			c.SetLinger(0)
--- /dev/null
+++ b/test/soak/sound_test.go
@@ -0,0 +1,169 @@
+package soak_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"monsoondale/common/framing"
+	"monsoondale/platform/fake"
+)
+
+const (
+	minSilence     = 500 * time.Millisecond // of a sound endpoint
+	maxSilence     = 2 * time.Second        // of a sound endpoint
+	maxGap         = 700 * time.Millisecond // between the events of a slow stream
+	deadlineMargin = 500 * time.Millisecond // how long before its deadline a response must be possible at the latest
+	harmMargin     = 300 * time.Millisecond // for how long a fault has effects after its end
+	crossing       = 200 * time.Millisecond // within which a request fails that an instance has not read when it closed the connection
+	lateRequest    = 3 * time.Second        // after SIGTERM; later requests may not be cut even if they run until the end
+)
+
+// periods are times at which something was harmed.
+type periods struct {
+	mu   sync.Mutex
+	list []period
+}
+
+type period struct{ from, to time.Time } // to is in the far future until the end is known
+
+// begin begins a period and returns a function that ends it.
+func (p *periods) begin() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.list)
+	p.list = append(p.list, period{time.Now(), time.Now().Add(time.Hour)})
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.list[n].to = time.Now()
+	}
+}
+
+// within returns the periods that overlap the time between from and to.
+func (p *periods) within(from, to time.Time) []period {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []period
+	for _, q := range p.list {
+		if q.from.Before(to) && q.to.After(from) {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
+// work is the work of an endpoint on a request.
+type work struct {
+	fake.Span
+	endpoint int
+}
+
+// works returns the work on each request, in order of time.
+func (w *world) works() map[string][]work {
+	out := map[string][]work{}
+	for n, e := range w.endpoints {
+		for _, s := range e.Spans() {
+			out[s.ID] = append(out[s.ID], work{s, n})
+		}
+	}
+	for _, s := range out {
+		slices.SortFunc(s, func(a, b work) int { return a.Start.Compare(b.Start) })
+	}
+	return out
+}
+
+// soundEnd returns when work would have ended at the latest if nobody had cut it off, and its longest silence. ok is false if the
+// endpoint was faulty, or not reachable before the outcome.
+func (w *world) soundEnd(o *outcome, s work) (end time.Time, silence time.Duration, ok bool) {
+	b := s.Behaviour
+	if b != (fake.Behaviour{Events: b.Events, Delay: b.Delay, Pause: b.Pause, PauseAfter: b.PauseAfter}) ||
+		len(w.links[s.endpoint].harms.within(s.Start.Add(-harmMargin), o.end.Add(harmMargin))) > 0 {
+		return time.Time{}, 0, false
+	}
+	end, silence = s.Start.Add(b.Delay+b.Pause), max(b.Delay, b.Pause)
+	if o.stream() && b.PauseAfter == 0 {
+		end = end.Add(time.Duration(b.Events-1) * b.Pause)
+	}
+	for _, p := range w.silences[s.endpoint].within(s.Start, end.Add(maxSilence)) {
+		end, silence = end.Add(p.to.Sub(p.from)), silence+p.to.Sub(p.from)
+	}
+	return end, silence, true
+}
+
+// checkSound returns why a request has not ended as its endpoint, which was sound, would have served it, or an empty string. Its
+// endpoint is the first one that works on it after all before have failed.
+func (w *world) checkSound(o *outcome, works []work) string {
+	i := w.instance(o.instance)
+	if o.whole() || len(i.harms.within(o.at, o.end.Add(harmMargin))) > 0 || len(i.stops.within(o.at, o.end)) > 0 {
+		return ""
+	}
+	for n, s := range works {
+		if n > 0 && works[n-1].End.After(s.Start) {
+			return "" // it was asked beside one that may have had the request
+		}
+		if end, silence, ok := w.soundEnd(o, s); ok {
+			if end.Add(deadlineMargin).After(o.deadline) || !o.atMostOnce() && silence > maxSilence || w.runsAtDeadline(o, works[n+1:]) {
+				return ""
+			}
+			return fmt.Sprintf("was not served, although e%d would have finished it by %.3f s", s.endpoint, end.Sub(w.started).Seconds())
+		}
+	}
+	return ""
+}
+
+// runsAtDeadline reports whether the deadline ended a request while a sound endpoint sent its events. How long a stream takes is
+// known only at its end.
+func (w *world) runsAtDeadline(o *outcome, works []work) bool {
+	return o.end.After(o.deadline) && slices.ContainsFunc(works, func(s work) bool {
+		end, silence, ok := w.soundEnd(o, s)
+		return ok && silence < maxGap && end.After(o.deadline)
+	})
+}
+
+// checkStop returns why a request should not have been cut off by the planned stop of its instance, or an empty string.
+func (w *world) checkStop(o *outcome, works []work) string {
+	i := w.instance(o.instance)
+	stops := i.stops.within(o.at, o.end)
+	if o.status != 0 && o.err == nil || len(stops) == 0 || o.end.After(o.deadline.Add(-harmMargin)) ||
+		len(works) == 0 && o.end.Sub(o.at) < crossing {
+		return ""
+	}
+	stop, from := stops[0].from, o.at
+	if stop.Before(from) {
+		from = stop
+	}
+	if len(i.harms.within(from, o.end.Add(harmMargin))) > 0 {
+		return ""
+	}
+	latest := stop.Add(w.grace * 5 / 6)
+	for _, s := range works {
+		end, _, ok := w.soundEnd(o, s)
+		// Work until late in the grace period excuses a cut, except of at-most-once requests that could still be answered.
+		if !ok || end.After(latest) && o.at.Before(stop.Add(lateRequest)) && (o.status != 0 || !o.atMostOnce()) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("was cut off by the stop that began at %.3f s", stop.Sub(w.started).Seconds())
+}
+
+func (o *outcome) atMostOnce() bool { return o.path == "/once/" || o.path == "/stream-once/" }
+func (o *outcome) stream() bool     { return o.path == "/stream/" || o.path == "/stream-once/" }
+
+// whole reports whether the caller has the whole response, as far as the instance could know.
+func (o *outcome) whole() bool {
+	return o.status == http.StatusOK && o.err == nil && (o.body == o.wholeBody() || o.framing == framing.Close)
+}
+
+func (o *outcome) wholeBody() string {
+	if o.stream() {
+		return fake.StreamBody(o.id, streamEvents)
+	}
+	return "answer to " + o.id
+}
+
+func (w *world) instance(name string) *instance {
+	return w.instances[slices.IndexFunc(w.instances, func(i *instance) bool { return i.name == name })]
+}
