--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -44,11 +45,20 @@
 // failedSeeds and failedCalmSeeds are seeds that broke a promise, each with its cause. They are run first.
 var failedSeeds, failedCalmSeeds = []uint64{}, []uint64{}
 
-var binary string
+var (
+	binary  string
+	network string // address prefix of the instances
+)
 
 func TestMain(m *testing.M) {
 	flag.Parse()
 	var err error
+	for n := 100; network == "" && n < 200; n++ { // another soak may run on this host; its listener reserves its addresses
+		if l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:8000", n)); err == nil {
+			defer l.Close()
+			network = fmt.Sprint("127.", n)
+		}
+	}
 	if binary, err = gexec.Build("monsoondale"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -164,7 +174,7 @@
 		w.register(n, "ready")
 	}
 	for n := range *size {
-		i := &instance{w: w, name: fmt.Sprint("instance-", n), ip: fmt.Sprintf("127.77.%d.%d", w.slot+1, n+1), store: openLink(t, w.store.Address())}
+		i := &instance{w: w, name: fmt.Sprint("instance-", n), ip: fmt.Sprintf("%s.%d.%d", network, w.slot+1, n+1), store: openLink(t, w.store.Address())}
 		w.instances = append(w.instances, i)
 		i.writeSettings()
 		i.start()
