--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -38,7 +38,10 @@
 	w.mu.Lock()
 	clear(w.hostile)
 	w.mu.Unlock()
-	w.addOddEntries(w.random("odd entries"))
+	odd := w.random("odd entries")
+	for range 20 {
+		w.addOddEntries(odd)
+	}
 	for n := range w.endpoints {
 		w.links[n].set(linkState{})
 		w.register(n, "ready")
@@ -130,6 +133,7 @@
 	case 14:
 		w.change(r, 2*length)
 	case 15:
+		w.log("odd entries")
 		w.addOddEntries(r)
 	}
 }
@@ -180,7 +184,6 @@
 		}
 		w.store.Put(kind, fmt.Sprint([]string{"a-odd", "odd"}[r.IntN(2)], r.IntN(100)), spec)
 	}
-	w.log("odd entries")
 }
 
 func (w *world) setHostile(n int, share float64) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,7 +43,15 @@
 )
 
 // failedSeeds and failedCalmSeeds are seeds that broke a promise, each with its cause. They are run first.
-var failedSeeds, failedCalmSeeds = []uint64{}, []uint64{}
+var (
+	failedSeeds = []uint64{
+		5034, 5042, // streams are cut 0.6 s before the end of the grace period, which is more than a sixth of it
+	}
+	failedCalmSeeds = []uint64{
+		5012, 5019, // a response that a standby reads ahead is lost if it breaks off after the takeover
+		5007, // a standby that has not responded gets a stream; the return to the first endpoint comes too late
+	}
+)
 
 var (
 	binary  string
