gateway: cut off within the last sixth of a short grace period

In a grace period of 3 s, streams were cut 0.6 s before its end although they would have ended in time.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -14,9 +14,12 @@
 	// grace period if it was sent within three seconds of SIGTERM, which may be handled late.
 	balancerDelay = 2700 * time.Millisecond
 	// cutOffMargin is the time before SIGKILL at which the requests that are still running are cut off, and exitMargin the
-	// time before it at which the process exits even if their responses have not been written.
+	// time before it at which the process exits even if their responses have not been written. In short grace periods they
+	// are cutOffShare and exitShare of it, as the platform excuses work that is cut off in the last sixth.
 	cutOffMargin = 600 * time.Millisecond
 	exitMargin   = 250 * time.Millisecond
+	cutOffShare  = 0.15
+	exitShare    = 0.06
 	// lingerTime is how long a request on an open connection may take to arrive after the last new connection:
 	// http.Server.Shutdown closes connections without an answer from which it has just read a request.
 	lingerTime = time.Second
@@ -29,7 +32,8 @@
 func (g *Gateway) stop() {
 	started := time.Now()
 	grace := g.o.Settings.ShutdownGrace
-	cutOff := started.Add(max(grace-cutOffMargin, grace/2))
+	cutOff := started.Add(grace - min(cutOffMargin, share(grace, cutOffShare)))
+	exit := started.Add(grace - min(exitMargin, share(grace, exitShare)))
 	g.leaving.Store(true)
 	g.proxy.BeginShutdown(cutOff)
 	g.log.Info("stopping", "requests", g.proxy.ActiveRequests(), "grace", grace.String())
@@ -40,7 +44,7 @@
 	if !waitUntilZero(ctx, g.proxy.ActiveRequests) {
 		g.proxy.CutOff()
 	}
-	ctx, cancel = context.WithDeadline(context.Background(), cutOff.Add(cutOffMargin-exitMargin))
+	ctx, cancel = context.WithDeadline(context.Background(), exit)
 	defer cancel()
 	waitUntilZero(ctx, g.proxy.ActiveRequests)
 	g.callers.Close() // fails only if it is closed already
@@ -59,6 +63,9 @@
 	g.log.Info("stopped", "cut", cut, "took", time.Since(started).String())
 }
 
+// share returns a part of a duration.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
 // waitUntilZero waits until count returns 0, and reports whether it has before ctx ends.
 func waitUntilZero(ctx context.Context, count func() int) bool {
 	for count() > 0 {
