commands: the gateway handles signals before it reads its settings

The soak saw SIGHUP end a process that was 13 ms old. What remains is the start of the runtime and the parsing of the command line.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -33,6 +33,8 @@
 
 // Run runs the gateway until SIGTERM or SIGINT, which start a graceful shutdown. SIGHUP reloads the settings.
 func (c *gatewayCmd) Run(s *streams) error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP) // an unhandled SIGHUP ends the process
 	path := c.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsEnv)
@@ -48,8 +50,6 @@
 	defer out.Close()
 	log := logr.FromSlogHandler(slog.NewJSONHandler(out, nil))
 
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	log.Info("starting", "instance", settings.Name, "centre", settings.Centre, "callers", settings.CallerAddress, "mesh", settings.MeshAddress,
 		"store", settings.StoreAddress, "memory", settings.MemoryLimit, "descriptors", settings.MaxDescriptors)
 	g, err := gateway.Start(gateway.Options{
