core/order: answer a claim from the head in the response to its own conflict

An order could be refused with 1105, "the object API did not answer in time: the head object changed", while the object API responded at once and its head said what had become of the order's key: claimed by another instance, or claimed for this very order by the owner of the shard, whose answer was lost. In the latter case the holder then voided a claim that it had won.

An answer that writes nothing must rest on a head that was read after the entry arrived. The code took only a read at the start of the same try for that. After a conflict, which carries the current head, and after a read that showed another version, it read once more; if another instance had written in between, the try was repeated from the start. Without contention it cost one needless read after each conflict.

Each waiting entry now records that the head was read after it arrived, be it by a read or by a conflict. The head of a shard only moves forward, so this stays true in later tries, and the linearization point stays between arrival and answer.

TestAnswerFromConflict failed before in both cases, with 1105 in place of 1106 and in place of the claim.

--- /dev/null
+++ b/core/order/conflict_test.go
@@ -0,0 +1,67 @@
+package order_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"monsoondale/core"
+	"monsoondale/core/object/objecttest"
+	"monsoondale/core/order"
+	"monsoondale/wire/peer"
+)
+
+// Guards against an order that is refused although the head in the response to its own conflicting write says what became
+// of its key: if the head is read again for each answer, and changes again before each read, no answer is ever given.
+func TestAnswerFromConflict(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		forwarded bool // the other instance writes the claim itself, as the owner of the shard
+		want      core.Code
+	}{
+		{"claimed by the other instance", false, core.CodeInProgress},
+		{"written by the other instance, whose answer was lost", true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inSynctest(t, func(t *testing.T, g *WithT, ctx context.Context) {
+				c := newCluster(t)
+				keys := keysOfShard0(1000)
+				other := c.registry(t, "other", nil)
+				forwarded := make(chan peer.Claim, 100)
+				b := c.registry(t, "b", func(o *order.Options) {
+					o.Forward = func(_ context.Context, _ int, m peer.Claim) (peer.Claimed, error) {
+						forwarded <- m
+						return peer.Claimed{}, errors.New("no answer")
+					}
+				})
+				mustClaim(ctx, g, other, keys[0]) // from now on, other knows the head and only writes
+
+				var inHook, conflicted atomic.Bool
+				var n atomic.Int32
+				c.store.SetFaultFunc(func(call objecttest.Call) objecttest.Fault {
+					if call.Name != "0" || !inHook.CompareAndSwap(false, true) {
+						return objecttest.None
+					}
+					defer inHook.Store(false)
+					switch {
+					case call.Op == objecttest.OpPut && !conflicted.Swap(true):
+						if tc.forwarded {
+							g.Expect(other.Serve(ctx, <-forwarded).Won).To(BeTrue())
+						} else {
+							mustClaim(ctx, g, other, keys[1])
+						}
+					case call.Op == objecttest.OpGet:
+						_, _, _ = other.Claim(ctx, keys[1+n.Add(1)], "p") // only the change of the head matters
+					}
+					return objecttest.None
+				})
+				_, _, err := b.Claim(ctx, keys[1], "p")
+				g.Expect(codeOf(err)).To(Equal(tc.want), "%v", err)
+				g.Expect(conflicted.Load()).To(BeTrue())
+			})
+		})
+	}
+}
--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -45,6 +45,7 @@
 	answer    chan answer // buffered
 	cancelled bool
 	sentAt    time.Time // of the first write of the entry that may have taken effect; zero if there is none
+	headRead  bool      // the shard's head was read after the entry arrived; used by processQueue only
 }
 
 // shard is a claim shard. At most one goroutine at a time (processQueue) writes its head object.
@@ -233,9 +234,8 @@
 func (r *Registry) writeBatch(s *shard, batch []*pendingWrite) error {
 	ctx, cancel := context.WithTimeout(r.ctx, r.opts.Timeout)
 	defer cancel()
-	justLoaded := s.head == nil
-	if justLoaded {
-		if err := r.loadHead(ctx, s); err != nil {
+	if s.head == nil {
+		if err := r.loadHead(ctx, s, batch); err != nil {
 			return err
 		}
 	}
@@ -277,7 +277,7 @@
 			h.put(next)
 			dirty = true
 		}
-		needsCurrentHead = needsCurrentHead || !write && !(next.State == StateDone || next.State == StateFailed)
+		needsCurrentHead = needsCurrentHead || !write && !p.headRead && !(next.State == StateDone || next.State == StateFailed)
 		answers[i].entry, answers[i].won = next, won
 	}
 	switch {
@@ -293,10 +293,11 @@
 		}
 		s.unused = nil
 		r.deleteUnused(s, h, unused)
-	case needsCurrentHead && !justLoaded:
-		// The cached head may be outdated, and an answer such as "in progress" must rest on the current one.
+	case needsCurrentHead:
+		// The cached head may be outdated, and an answer such as "in progress" must rest on one that was read after the
+		// question. A head that changes all the time would never be the same in two reads.
 		before := s.version
-		if err := r.loadHead(ctx, s); err != nil {
+		if err := r.loadHead(ctx, s, batch); err != nil {
 			return err
 		}
 		if s.version != before {
@@ -312,13 +313,13 @@
 	return nil
 }
 
-// loadHead reads the current head.
-func (r *Registry) loadHead(ctx context.Context, s *shard) error {
+// loadHead reads the current head for a batch.
+func (r *Registry) loadHead(ctx context.Context, s *shard, batch []*pendingWrite) error {
 	s.head = nil
 	r.counters.reads.Add(1)
 	v, version, err := r.opts.Store.Get(ctx, kindClaim, headName(s.number))
 	if errors.Is(err, object.ErrNotFound) {
-		s.head, s.version = &Head{}, 0
+		s.setHead(&Head{}, 0, batch)
 		return nil
 	}
 	if err != nil {
@@ -328,10 +329,18 @@
 	if err != nil {
 		return err
 	}
-	s.head, s.version = h, version
+	s.setHead(h, version, batch)
 	return nil
 }
 
+// setHead sets the head to one that was read for a batch.
+func (s *shard) setHead(h *Head, version core.Revision, batch []*pendingWrite) {
+	s.head, s.version = h, version
+	for _, p := range batch {
+		p.headRead = true
+	}
+}
+
 // writeHead replaces the head with h, on condition that the stored head is still the one that h was derived from.
 func (r *Registry) writeHead(ctx context.Context, s *shard, h *Head, batch []*pendingWrite) error {
 	v, err := json.Marshal(h)
@@ -362,9 +371,9 @@
 		r.counters.conflicts.Add(1)
 		s.head = nil
 		if c.Deleted {
-			s.head, s.version = &Head{}, 0
+			s.setHead(&Head{}, 0, batch)
 		} else if cur, err := DecodeHead(c.Value); err == nil {
-			s.head, s.version = cur, c.Version
+			s.setHead(cur, c.Version, batch)
 		}
 		return errChanged
 	}
