core/order: keep to the rate of a shard after a conflict

After a conflict an instance wrote the head of a claim shard without regard to the rates for as long as it had entries to write: 1489 head writes of one shard in 3 s, at a rate of 6.25/s with a burst of 8. Other instances that had something to write to the shard met a changed head each time, and refused sound orders with 1105. Direct writes of shards with another owner, which are limited so that a slow object API is not made slower, were not limited either.

The next try after a conflict skips throttle, because the head that it rests on is only current now. The flag that says so was kept after the write succeeded, until the queue was empty or a call failed otherwise.

The flag is now set from the outcome of each try. TestRateAfterConflict failed before with the figure above; it counts writes of the head in simulated time.

--- a/core/order/conflict_test.go
+++ b/core/order/conflict_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -65,3 +66,29 @@
 		})
 	}
 }
+
+// Guards against a shard that is written faster than its rate after a conflict, for as long as it has entries to write.
+func TestRateAfterConflict(t *testing.T) {
+	inSynctest(t, func(t *testing.T, g *WithT, ctx context.Context) {
+		c := newCluster(t)
+		keys := keysOfShard0(3000)
+		a, other := c.registry(t, "a", nil), c.registry(t, "other", nil)
+		mustClaim(ctx, g, a, keys[0])
+		mustClaim(ctx, g, other, keys[1]) // a's next write conflicts
+		var headWrites atomic.Int32
+		c.store.SetFaultFunc(func(call objecttest.Call) objecttest.Fault {
+			if call.Op == objecttest.OpPut && call.Name == "0" {
+				headWrites.Add(1)
+			}
+			return objecttest.None
+		})
+		start := time.Now()
+		for _, k := range keys[2:] {
+			go func() { _, _, _ = a.Claim(ctx, k, "p") }() // only the writes matter
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(headWrites.Load()).To(BeNumerically("<=", 8+time.Since(start).Seconds()*400/order.Shards+1), "the burst, the rate and the conflict")
+		g.Expect(a.Counters().Conflicts).To(BeEquivalentTo(1))
+		g.Expect(a.Counters().Won).To(BeNumerically(">", 2500))
+	})
+}
--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -144,14 +144,14 @@
 			s.waiting = append(batch, s.waiting...)
 		}
 		s.mu.Unlock()
-		if err == nil {
-			bo.Reset()
-			continue
-		}
 		// After a conflict the current head is known. A pause would only make it outdated again.
 		if headChanged = errors.Is(err, errChanged); headChanged {
 			continue
 		}
+		if err == nil {
+			bo.Reset()
+			continue
+		}
 		wait := bo.NextBackOff()
 		if t := (*object.ThrottledError)(nil); errors.As(err, &t) {
 			wait = max(wait, min(t.Retry, time.Second))
