core/order: leave the next write of a claim shard to other instances

A sound order was refused with 1105, "the object API did not answer in time: the head object changed", because another instance had entries for the same claim shard all the time. The object API responded to each call; nothing was run, so the answer was true, but the order could have been claimed.

The loser of a conditional write goes on at once from the head in the response to its conflict. The winner went on at once as well. It learns the new version first and needs as long to write, so it won every time until its queue was empty, and the loser ran into the 3 s of a claim. At an object API that responds within milliseconds, the rate of the shard ends this after eight writes. At one that needs more than 160 ms for a write, nothing did. Each region has its own owner of a claim shard, and holders write directly if an owner does not answer within 1 s, which a slow object API causes too.

After a write that took effect an instance now leaves a gap as long as that write, at most 150 ms. Among instances whose writes take equally long, the loser that was first to meet the new version is then the next to win; if the writes take longer than the gap, it is closer behind the winner's write each time, and wins after a few tries. At usual latencies the gap is a few milliseconds and within the rate of the shard. At a slow object API a batch waits for up to 150 ms longer and is larger. The steps of spec/order.pml stay as they are; only their times change.

TestOtherWritersAreBusy failed before in the five cases of 170 ms and more, with the message above. It also checks that the busy instances, with one or four of them, give up no claim in exchange.

--- a/core/order/conflict_test.go
+++ b/core/order/conflict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,3 +93,52 @@
 		g.Expect(a.Counters().Won).To(BeNumerically(">", 2500))
 	})
 }
+
+// keepWriting claims keys of shard 0 so often that r always has an entry to write, until the returned function is called.
+func keepWriting(ctx context.Context, r *order.Registry, keys []core.OrderKey) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for _, k := range keys {
+			go func() { _, _, _ = r.Claim(ctx, k, "p") }() // the counters of r show whether it was refused
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return cancel
+}
+
+// Guards against orders that are refused because the instance that won the last write of a head object always wins the
+// next one as well, and against refused orders of that instance in exchange. The object API responds, but in most cases so
+// slowly that the rate of writes leaves no gaps between them.
+func TestOtherWritersAreBusy(t *testing.T) {
+	keys := keysOfShard0(1210)
+	for _, tc := range []struct {
+		latency time.Duration
+		writers int
+	}{{5, 1}, {170, 1}, {330, 1}, {610, 1}, {5, 4}, {220, 4}, {330, 4}} {
+		t.Run(fmt.Sprint(tc.latency*time.Millisecond, ", ", tc.writers, " other writers"), func(t *testing.T) {
+			inSynctest(t, func(t *testing.T, g *WithT, ctx context.Context) {
+				c := newCluster(t)
+				b := c.registry(t, "b", nil)
+				c.store.SetLatency(tc.latency * time.Millisecond)
+				var busy []*order.Registry
+				for i := range tc.writers {
+					busy = append(busy, c.registry(t, core.InstanceID(fmt.Sprint("busy", i)), nil))
+					defer keepWriting(ctx, busy[i], keys[10+300*i:][:300])()
+					time.Sleep(67 * time.Millisecond)
+				}
+				time.Sleep(946 * time.Millisecond)
+				for _, k := range keys[:10] {
+					mustClaim(ctx, g, b, k)
+				}
+				for _, r := range busy {
+					g.Expect(r.Counters().Won).To(BeNumerically(">", 0))
+					g.Expect(r.Counters().Background).To(BeZero(), "given up")
+				}
+			})
+		})
+	}
+}
--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -34,6 +34,9 @@
 	// resultWait is how long a batch of results waits for a claim to share its write when less than half of
 	// writeBurst is left. A delayed claim holds up an order before it starts, a delayed result only after it ended.
 	resultWait = 150 * time.Millisecond
+	// maxWriteGap bounds the gap that an instance leaves after a write, see throttle. With a longer one, claims would take
+	// too long at an object API that needs most of a second for each write.
+	maxWriteGap = 150 * time.Millisecond
 	// maxArchiveSpan is the age of the oldest entry up to which an archive is extended. It bounds how much longer than
 	// the retention time that entry is kept.
 	maxArchiveSpan = time.Hour
@@ -64,6 +67,7 @@
 	head        *Head         // nil if unknown
 	version     core.Revision // of head
 	nextUntried int           // lowest archive number that no write was tried with
+	gapEnd      time.Time     // end of the gap after the last write that took effect
 	limiter     *rate.Limiter
 	unused      *unusedObjects   // left over from a failed head write, or nil
 	index       map[int][]uint64 // sorted key prefixes by archive number
@@ -171,11 +175,13 @@
 	}
 }
 
-// throttle waits until the rate limits permit the next write. If only results are waiting and less than half of
-// writeBurst is left, it also waits for a claim, for up to resultWait.
+// throttle waits until the rate limits permit the next write, and until the gap after the last write has passed: without
+// it, the instance that won a write would always win the next one too, because others learn the new version no earlier than
+// it does and need as long as it does to write. If only results are waiting and less than half of writeBurst is left, it
+// also waits for a claim, for up to resultWait.
 func (r *Registry) throttle(s *shard) {
 	now := r.opts.Now()
-	delay := untilPermitted(s.limiter, now)
+	delay := max(untilPermitted(s.limiter, now), min(s.gapEnd.Sub(now), maxWriteGap))
 	if s.remoteOwner.Load() {
 		delay = max(delay, untilPermitted(r.directLimiter, now))
 		s.head = nil // other instances write too: a read is cheaper than a conflicting write
@@ -362,6 +368,8 @@
 	version, err := r.opts.Store.Put(ctx, kindClaim, headName(s.number), v, s.version)
 	if err == nil {
 		s.head, s.version = h, version
+		end := r.opts.Now()
+		s.gapEnd = end.Add(min(end.Sub(now), maxWriteGap))
 		return nil
 	}
 	if !object.Undetermined(err) {
