internal/demo: hang up while the order runs, not after 200 ms

One caller of each kind of order hangs up after 200 ms, which was taken for a time at which the order runs. If its claim took longer, the order was not dispatched and was counted as not run, but there was no caller left to receive that.

The caller now hangs up once a service has logged the order, so that what the demo is to show, an order that goes on without its caller, is shown in each run. The check is as strict as before, and stricter for this order: a refusal that reaches its caller no longer passes as a hang-up.

The case "orders are claimed slowly" of TestRun, an instance that takes 400 ms to claim an order, failed before with the message above.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -184,8 +184,7 @@
 				continue
 			}
 			wg.Go(func() {
-				c := f.Client(q.instance, keys[q.workspace], q.caller)
-				all := q.send(ctx, c)
+				all := q.send(ctx, f, keys[q.workspace])
 				mu.Lock()
 				defer mu.Unlock()
 				outcomes = append(outcomes, outcome{q, all[len(all)-1]})
@@ -204,7 +203,8 @@
 	for _, q := range lo.UniqBy(idempotent, func(q request) string { return q.pool }) {
 		for instance := range f.Instances {
 			for deadline := time.Now().Add(settleTimeout); ; {
-				a := q.send(ctx, f.Client(instance, keys[q.workspace], q.caller))
+				q.instance = instance
+				a := q.send(ctx, f, keys[q.workspace])
 				out = append(out, a...)
 				if a[0].Complete() || time.Now().After(deadline) || !fake.Sleep(ctx, 100*time.Millisecond) {
 					break
@@ -217,13 +217,14 @@
 
 // send sends the request and returns all answers. A request of the last wave is sent again while its order is still in
 // progress.
-func (q request) send(ctx context.Context, c *check.Client) (out []check.Answer) {
+func (q request) send(ctx context.Context, f *fleet.Fleet, key string) (out []check.Answer) {
+	c := f.Client(q.instance, key, q.caller)
 	for deadline := time.Now().Add(settleTimeout); ; {
 		var a check.Answer
 		if q.chat != nil {
 			a = c.Chat(ctx, *q.chat, q.hangUpParts)
 		} else {
-			a = c.Call(ctx, q.method, q.path, q.order, q.body, q.hangUpAfter)
+			a = q.call(ctx, f, c)
 		}
 		a.Label = q.pool
 		out = append(out, a)
@@ -234,6 +235,28 @@
 	}
 }
 
+// call sends a request to a plain service. If the caller is to hang up, it does so while the request runs.
+func (q request) call(ctx context.Context, f *fleet.Fleet, c *check.Client) check.Answer {
+	if q.hangUpAtRun == "" {
+		return c.Call(ctx, q.method, q.path, q.order, q.body, 0)
+	}
+	ctx, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	go func() {
+		for !isLogged(f, q.hangUpAtRun) && fake.Sleep(ctx, 5*time.Millisecond) {
+		}
+		hangUp()
+	}()
+	return c.Call(ctx, q.method, q.path, q.order, q.body, settleTimeout)
+}
+
+// isLogged reports whether a service has logged a request with the business key.
+func isLogged(f *fleet.Fleet, key string) bool {
+	return slices.ContainsFunc(f.Endpoints, func(e *fleet.Endpoint) bool {
+		return e.Service != nil && slices.ContainsFunc(e.Service.Log().Items, func(r wire.Run) bool { return r.Key == key })
+	})
+}
+
 // waitIdle waits until no request runs at any endpoint, up to settleTimeout, and returns the logs.
 func waitIdle(ctx context.Context, f *fleet.Fleet) ([]check.Log, error) {
 	for deadline := time.Now().Add(settleTimeout); ; {
@@ -281,7 +304,7 @@
 			if s := states[o.Request]; s != wire.RunStateCancelled {
 				out = append(out, fmt.Sprintf("%s request %s: its caller hung up, but its state in the endpoint's log is %q", o.kind, o.Request, s))
 			}
-		case o.hangUpAfter > 0 && (o.HungUp || complete):
+		case o.hangUpAtRun != "" && (complete || o.HungUp && o.Error == nil):
 		case !complete || o.hangUpParts > 0:
 			out = append(out, fmt.Sprintf("%s request %s %s: complete=%t, status %d, error %+v, %v", o.kind, cmp.Or(o.Request, "without id"), o.order, complete, o.Status, o.Error, o.Err))
 		}
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/tailscale/hujson"
@@ -34,6 +35,9 @@
 	wrongCount        fault = "the report counts one request too many"
 	needlessRefusal   fault = "a request is refused although endpoints are free"
 	ignoredDisconnect fault = "the caller's disconnection is not passed on"
+
+	// slowClaims is no defect: an order is claimed slowly, and is refused if its caller has hung up by then.
+	slowClaims fault = "orders are claimed slowly"
 )
 
 // regionState is the state that the reference instances of a region share; it replaces the scheduler's protocols.
@@ -184,6 +188,11 @@
 		_, _ = w.Write(recorded)
 	case claimed:
 		i.answerNotRun(w, k, id, core.CodeInProgress)
+	case !i.awaitClaim(r):
+		i.mu.Lock()
+		delete(i.orders, key)
+		i.mu.Unlock()
+		i.answerNotRun(w, k, id, core.CodeCallerGone)
 	default:
 		out := httptest.NewRecorder()
 		i.dispatch(out, r.WithContext(context.WithoutCancel(r.Context())), k, id, path, body)
@@ -196,6 +205,14 @@
 	}
 }
 
+// awaitClaim waits for the claim of an order. It reports false if the caller has hung up by then.
+func (i *referenceInstance) awaitClaim(r *http.Request) bool {
+	if i.fault == slowClaims {
+		time.Sleep(400 * time.Millisecond)
+	}
+	return i.fault != slowClaims || r.Context().Err() == nil
+}
+
 // storeClaim writes a claim to the object API. It replaces the claim protocol.
 func (i *referenceInstance) storeClaim(key, attempt string) {
 	value, _ := json.Marshal(peer.Claim{Key: key, Attempt: attempt, State: peer.ClaimStateDone})
@@ -349,6 +366,7 @@
 		want  []string // substrings of the output
 	}{
 		{noFault, []string{"All counts agree"}},
+		{slowClaims, []string{"All counts agree"}},
 		{unclaimedOrders, []string{"P5 orders run at most once"}},
 		{doubleDispatch, []string{"P1 dispatched at most once"}},
 		{truncatedCleanEnd, []string{"P3 truncated answers do not end cleanly"}},
@@ -363,7 +381,7 @@
 			l := &launcher{fault: tc.fault, regions: map[string]*regionState{}}
 			var out bytes.Buffer
 			err := Run(t.Context(), Options{Launch: l.launch, Report: l.report, Out: &out})
-			if tc.fault == noFault {
+			if tc.fault == noFault || tc.fault == slowClaims {
 				g.Expect(err).NotTo(HaveOccurred())
 			} else {
 				g.Expect(err).To(HaveOccurred())
--- a/internal/demo/plan.go
+++ b/internal/demo/plan.go
@@ -37,8 +37,8 @@
 	hangUpParts int // the caller hangs up after that many chunks of text, if positive
 
 	method, path, order, body string
-	hangUpAfter               time.Duration // the caller hangs up after that time, if positive
-	duplicate                 bool          // sent to two instances at once: one of the answers may be "in progress"
+	hangUpAtRun               string // the caller hangs up once a service has logged this business key, if not empty
+	duplicate                 bool   // sent to two instances at once: one of the answers may be "in progress"
 }
 
 func enginePool(pool string) fleet.EnginePool {
@@ -175,10 +175,9 @@
 			t.add(r)
 			r.duplicate = false
 		case i == n+1:
-			// It has a wave of its own, so that the order is dispatched before the caller hangs up.
-			r.wave, r.hangUpAfter = 1, 200*time.Millisecond
+			r.wave, r.hangUpAtRun = 1, field+" "+id
 			t.add(r)
-			r.hangUpAfter = 0
+			r.hangUpAtRun = ""
 		default:
 			t.add(r)
 		}
