--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -34,6 +34,9 @@
 	// resultWait is how long a batch of results waits for a claim to share its write when less than half of
 	// writeBurst is left. A delayed claim holds up an order before it starts, a delayed result only after it ended.
 	resultWait = 150 * time.Millisecond
+	// maxWriteGap bounds the gap that an instance leaves after a write, see throttle. With a longer one, claims would take
+	// too long at an object API that needs most of a second for each write.
+	maxWriteGap = 150 * time.Millisecond
 	// maxArchiveSpan is the age of the oldest entry up to which an archive is extended. It bounds how much longer than
 	// the retention time that entry is kept.
 	maxArchiveSpan = time.Hour
@@ -45,6 +48,7 @@
 	answer    chan answer // buffered
 	cancelled bool
 	sentAt    time.Time // of the first write of the entry that may have taken effect; zero if there is none
+	headRead  bool      // the shard's head was read after the entry arrived; used by processQueue only
 }
 
 // shard is a claim shard. At most one goroutine at a time (processQueue) writes its head object.
@@ -63,6 +67,7 @@
 	head        *Head         // nil if unknown
 	version     core.Revision // of head
 	nextUntried int           // lowest archive number that no write was tried with
+	gapEnd      time.Time     // end of the gap after the last write that took effect
 	limiter     *rate.Limiter
 	unused      *unusedObjects   // left over from a failed head write, or nil
 	index       map[int][]uint64 // sorted key prefixes by archive number
@@ -143,14 +148,14 @@
 			s.waiting = append(batch, s.waiting...)
 		}
 		s.mu.Unlock()
-		if err == nil {
-			bo.Reset()
-			continue
-		}
 		// After a conflict the current head is known. A pause would only make it outdated again.
 		if headChanged = errors.Is(err, errChanged); headChanged {
 			continue
 		}
+		if err == nil {
+			bo.Reset()
+			continue
+		}
 		wait := bo.NextBackOff()
 		if t := (*object.ThrottledError)(nil); errors.As(err, &t) {
 			wait = max(wait, min(t.Retry, time.Second))
@@ -170,11 +175,13 @@
 	}
 }
 
-// throttle waits until the rate limits permit the next write. If only results are waiting and less than half of
-// writeBurst is left, it also waits for a claim, for up to resultWait.
+// throttle waits until the rate limits permit the next write, and until the gap after the last write has passed: without
+// it, the instance that won a write would always win the next one too, because others learn the new version no earlier than
+// it does and need as long as it does to write. If only results are waiting and less than half of writeBurst is left, it
+// also waits for a claim, for up to resultWait.
 func (r *Registry) throttle(s *shard) {
 	now := r.opts.Now()
-	delay := untilPermitted(s.limiter, now)
+	delay := max(untilPermitted(s.limiter, now), min(s.gapEnd.Sub(now), maxWriteGap))
 	if s.remoteOwner.Load() {
 		delay = max(delay, untilPermitted(r.directLimiter, now))
 		s.head = nil // other instances write too: a read is cheaper than a conflicting write
@@ -233,9 +240,8 @@
 func (r *Registry) writeBatch(s *shard, batch []*pendingWrite) error {
 	ctx, cancel := context.WithTimeout(r.ctx, r.opts.Timeout)
 	defer cancel()
-	justLoaded := s.head == nil
-	if justLoaded {
-		if err := r.loadHead(ctx, s); err != nil {
+	if s.head == nil {
+		if err := r.loadHead(ctx, s, batch); err != nil {
 			return err
 		}
 	}
@@ -277,7 +283,7 @@
 			h.put(next)
 			dirty = true
 		}
-		needsCurrentHead = needsCurrentHead || !write && !(next.State == StateDone || next.State == StateFailed)
+		needsCurrentHead = needsCurrentHead || !write && !p.headRead && !(next.State == StateDone || next.State == StateFailed)
 		answers[i].entry, answers[i].won = next, won
 	}
 	switch {
@@ -293,10 +299,11 @@
 		}
 		s.unused = nil
 		r.deleteUnused(s, h, unused)
-	case needsCurrentHead && !justLoaded:
-		// The cached head may be outdated, and an answer such as "in progress" must rest on the current one.
+	case needsCurrentHead:
+		// The cached head may be outdated, and an answer such as "in progress" must rest on one that was read after the
+		// question. A head that changes all the time would never be the same in two reads.
 		before := s.version
-		if err := r.loadHead(ctx, s); err != nil {
+		if err := r.loadHead(ctx, s, batch); err != nil {
 			return err
 		}
 		if s.version != before {
@@ -312,13 +319,13 @@
 	return nil
 }
 
-// loadHead reads the current head.
-func (r *Registry) loadHead(ctx context.Context, s *shard) error {
+// loadHead reads the current head for a batch.
+func (r *Registry) loadHead(ctx context.Context, s *shard, batch []*pendingWrite) error {
 	s.head = nil
 	r.counters.reads.Add(1)
 	v, version, err := r.opts.Store.Get(ctx, kindClaim, headName(s.number))
 	if errors.Is(err, object.ErrNotFound) {
-		s.head, s.version = &Head{}, 0
+		s.setHead(&Head{}, 0, batch)
 		return nil
 	}
 	if err != nil {
@@ -328,10 +335,18 @@
 	if err != nil {
 		return err
 	}
-	s.head, s.version = h, version
+	s.setHead(h, version, batch)
 	return nil
 }
 
+// setHead sets the head to one that was read for a batch.
+func (s *shard) setHead(h *Head, version core.Revision, batch []*pendingWrite) {
+	s.head, s.version = h, version
+	for _, p := range batch {
+		p.headRead = true
+	}
+}
+
 // writeHead replaces the head with h, on condition that the stored head is still the one that h was derived from.
 func (r *Registry) writeHead(ctx context.Context, s *shard, h *Head, batch []*pendingWrite) error {
 	v, err := json.Marshal(h)
@@ -353,6 +368,8 @@
 	version, err := r.opts.Store.Put(ctx, kindClaim, headName(s.number), v, s.version)
 	if err == nil {
 		s.head, s.version = h, version
+		end := r.opts.Now()
+		s.gapEnd = end.Add(min(end.Sub(now), maxWriteGap))
 		return nil
 	}
 	if !object.Undetermined(err) {
@@ -362,9 +379,9 @@
 		r.counters.conflicts.Add(1)
 		s.head = nil
 		if c.Deleted {
-			s.head, s.version = &Head{}, 0
+			s.setHead(&Head{}, 0, batch)
 		} else if cur, err := DecodeHead(c.Value); err == nil {
-			s.head, s.version = cur, c.Version
+			s.setHead(cur, c.Version, batch)
 		}
 		return errChanged
 	}
