io/proxy: plain requests stay with a silent endpoint until another one has responded

The bound on two endpoints at work is one of model engines; requests that state no tokens now run at both until one responds.

--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -29,7 +29,7 @@
 	streamSilenceTimeout = 1200 * time.Millisecond
 	// takeoverInterval is the time between two tries to find another endpoint for a request whose endpoint is silent.
 	takeoverInterval = 100 * time.Millisecond
-	// maxOverlap is how long two endpoints may work on a request. The platform allows 400 ms, and an endpoint learns late
+	// maxOverlap is how long two model engines may work on a request. The platform allows 400 ms, and an endpoint learns late
 	// that its request was cancelled.
 	maxOverlap = 250 * time.Millisecond
 	// maxHandOvers is the number of hand-overs in a row to standbys that have not responded: to another endpoint and back. With more
@@ -48,7 +48,7 @@
 )
 
 // takeover lets another endpoint, the standby, serve the request of an attempt whose endpoint is silent. A silent endpoint may still
-// be sound, and the standby may fail. So the endpoint keeps the request until the standby has responded, or until both
+// be sound, and the standby may fail. So the endpoint keeps the request until the standby has responded, or until two model engines
 // have worked on it for maxOverlap; in the second case the request may return to it.
 type takeover struct {
 	mu       sync.Mutex
@@ -88,11 +88,7 @@
 	} else {
 		p.runs++
 	}
-	timeout := max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout)
-	if a.x.route.Kind != route.Stream {
-		timeout <<= a.standby.handOvers // the endpoints may be slow rather than silent, and its caller waits until the deadline
-	}
-	a.watch(p, timeout, func() bool {
+	a.watch(p, max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout), func() bool {
 		// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so far. From
 		// then on only the deadline limits the wait for this response.
 		return a.x.pool.RespondedSince(a.grant) || a.tryStandby(p)
@@ -159,8 +155,11 @@
 		x.pool.Release(now, g, pool.Cancelled)
 		return false
 	}
-	overlap := time.AfterFunc(maxOverlap, func() { a.endOverlap(b) })
-	defer overlap.Stop()
+	// Plain requests have no limit: the first response of the two counts.
+	if x.route.Kind == route.Stream || x.info.TokensStated {
+		overlap := time.AfterFunc(maxOverlap, func() { a.endOverlap(b) })
+		defer overlap.Stop()
+	}
 	o, err := b.openAndProve(p)
 	if b.resp != nil && !b.mayHaveRun() {
 		b.discardBody()
