commands: the gateway waits for settings that are being replaced when it starts

TestGatewayStartsWithPartlyWrittenSettings failed before. Invalid settings are read again for half a second.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -16,6 +16,13 @@
 	"monsoondale/platform"
 )
 
+// settingsWriteTime is how long a settings file may be incomplete at the start because it is being replaced, and
+// settingsReadInterval the time between two tries to read it meanwhile.
+const (
+	settingsWriteTime    = 500 * time.Millisecond
+	settingsReadInterval = 20 * time.Millisecond
+)
+
 // settingsCheckInterval is the time between two checks of the settings file, which may change without a SIGHUP.
 const settingsCheckInterval = time.Second
 
@@ -42,7 +49,7 @@
 	if path == "" {
 		return &usageError{"gateway: set the path of the settings file with --settings or " + platform.SettingsEnv}
 	}
-	settings, err := platform.ReadSettings(path)
+	settings, err := readCompleteSettings(path)
 	if err != nil {
 		return err
 	}
@@ -91,3 +98,13 @@
 		g.Reload(changed)
 	}
 }
+
+// readCompleteSettings reads the settings, again for settingsWriteTime if they are not valid.
+func readCompleteSettings(path string) (*gateway.Settings, error) {
+	for end := time.Now().Add(settingsWriteTime); ; time.Sleep(settingsReadInterval) {
+		s, err := platform.ReadSettings(path)
+		if err == nil || time.Now().After(end) {
+			return s, err
+		}
+	}
+}
--- a/commands/gateway_test.go
+++ b/commands/gateway_test.go
@@ -91,6 +91,23 @@
 	}
 }
 
+// Guards against a process that ends by itself because it starts while its settings file is being replaced.
+func TestGatewayStartsWithPartlyWrittenSettings(t *testing.T) {
+	g := NewWithT(t)
+	store := fake.NewStore()
+	defer store.Close()
+	text := fake.Settings("i", "127.0.91.9", "a", store.Address(), time.Second, 50)
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	g.Expect(os.WriteFile(path, []byte(text[:len(text)/3]), 0o600)).To(Succeed())
+	out, code := &lockedBuffer{}, make(chan int, 1)
+	go func() { code <- execute([]string{"gateway", "--settings", path}, &streams{out: out, err: out}) }()
+	time.Sleep(100 * time.Millisecond)
+	g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	g.Eventually(out.String, "5s", "5ms").Should(ContainSubstring(`"msg":"starting"`))
+	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGTERM)).To(Succeed())
+	g.Eventually(code, "5s", "5ms").Should(Receive(Equal(exitOK)))
+}
+
 // sendOrder sends an order to a gateway and returns the body of the response, or the error.
 func sendOrder(address string) string {
 	resp, err := (&http.Transport{}).RoundTrip(fake.NewRequest(address, "/once/", "r1", 3*time.Second))
