--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -131,3 +131,24 @@
 type anyRetries struct{ Budgets }
 
 func (anyRetries) TakeRetry(route.Service) bool { return true }
+
+// Guards against a stream that can't return to its first endpoint because its caller, who is still connected, should have left.
+func TestResponseDeadline(t *testing.T) {
+	arrived := time.Now()
+	abandoned, deadline := arrived.Add(2*time.Second), arrived.Add(10*time.Second)
+	for _, c := range []struct {
+		name string
+		kind route.Kind
+		runs int
+		want time.Time
+	}{
+		{"stream that did not run", route.Stream, 0, abandoned},
+		{"stream that may have run", route.Stream, 1, deadline},
+		{"other request", route.Idempotent, 0, deadline},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := &exchange{route: &route.Route{Kind: c.kind}, arrived: arrived, deadline: deadline, possibleRuns: c.runs}
+			NewWithT(t).Expect(x.responseDeadline()).To(Equal(c.want))
+		})
+	}
+}
