--- /dev/null
+++ b/io/proxy/standby.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"monsoondale/common/framing"
+	"monsoondale/core/pool"
+	"monsoondale/core/route"
+)
+
+// maxPrefetchBytes is the size of the largest part of a response that a standby reads before it has the request.
+const maxPrefetchBytes = maxEventBytes
+
+// standbyState is the state of an attempt that began as a standby.
+type standbyState struct {
+	opened     chan struct{} // closed when the standby has responded or failed; nil for other attempts
+	reserved   int64         // bytes of buffers
+	returnPaid bool          // a retry for the return to the first endpoint has been taken from the budget
+	notRun     bool          // it has ended, and the endpoint did not run the request
+	handOvers  int           // number of hand-overs without a response in a row, the last one being to this standby
+}
+
+// openAndProve sends the request of a standby and reads the beginning of the response. It runs in the goroutine of a timer, where a
+// panic would end the process.
+func (a *attempt) openAndProve(p *standbyPlan) (o pool.Outcome, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			a.x.logPanic(v, stageRun)
+			a.err = errPanic
+			o, err = pool.Broken, errPanic
+		}
+	}()
+	a.open(func() {})
+	return a.prove(p)
+}
+
+// mayHaveRun reports whether the endpoint may have run the request.
+func (a *attempt) mayHaveRun() bool {
+	_, _, notRun := a.outcomeIfNotRun()
+	return !notRun
+}
+
+// prove reads the beginning of a standby's response until it shows that the endpoint serves the request: the first event of a
+// stream, or the whole of another response.
+func (a *attempt) prove(p *standbyPlan) (pool.Outcome, error) {
+	if o, reason, ok := a.outcomeIfNotRun(); ok {
+		return o, errors.New(reason)
+	}
+	if err := a.failure(); err != nil {
+		return pool.Broken, err
+	}
+	switch status := a.resp.StatusCode; {
+	case status >= http.StatusInternalServerError:
+		return pool.ServerError, errors.Errorf("status %d", status)
+	case !a.succeeded(): // the first endpoint may do better
+		return pool.Served, errors.Errorf("status %d", status)
+	}
+	begun := p.status != 0
+	if begun && (a.resp.StatusCode != p.status || a.resp.Header.Get("Content-Type") != p.contentType) {
+		return pool.Broken, errOtherContent
+	}
+	if err := a.prefetch(begun); err != nil {
+		return pool.Broken, err
+	}
+	return pool.Served, nil
+}
+
+// prefetch reads the beginning of the response as far as prove needs it. What it has read, and an error of the connection, are read
+// again by whoever reads the body next: the standby may have got the request meanwhile.
+func (a *attempt) prefetch(begun bool) error {
+	stream := a.x.route.Kind == route.Stream && a.succeeded()
+	body := a.resp.Body
+	rest := io.Reader(body)
+	var buf []byte
+	defer func() { a.resp.Body = prefetchedBody{io.MultiReader(bytes.NewReader(buf), rest), body} }()
+	for end, proven := false, false; !proven && !end && len(buf) < maxPrefetchBytes; {
+		if len(buf) == cap(buf) {
+			size := max(2*cap(buf), streamBufferBytes)
+			if !a.x.handler.memory.reserve(size, 1) {
+				return errBodyMemory
+			}
+			a.standby.reserved += int64(size)
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err != nil && err != io.EOF {
+			rest = failedReader{err} // after a reset, a connection may report an orderly end
+			return err
+		}
+		end = err == io.EOF
+		if !stream {
+			continue
+		}
+		events, err := scanEvents(buf, a.after, begun)
+		if err != nil {
+			return err
+		}
+		proven = events.numbered+events.unnumbered > 0
+		if end && !proven && (a.resp.Framing == framing.Close || !isComment(buf)) {
+			return errNoEvents
+		}
+	}
+	return nil
+}
+
+// prefetchedBody is a body of which a part has been read.
+type prefetchedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// failedReader is the rest of a body that could not be read.
+type failedReader struct{ err error }
+
+func (r failedReader) Read([]byte) (int, error) { return 0, r.err }
