--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -441,10 +441,18 @@
 }
 
 // responseDeadline returns the time by which the response must begin. For a stream that certainly did not run, that is when the
-// caller is assumed to abandon it, counted from the arrival, but at most the deadline. One that may have run can't be refused; its
-// caller has not left if it is still connected.
+// caller is assumed to abandon it. One that may have run can't be refused; its caller has not left if it is still connected.
 func (x *exchange) responseDeadline() time.Time {
-	if d := x.route.AbandonAfter(); d > 0 && x.fresh() {
+	if x.fresh() {
+		return x.abandonment()
+	}
+	return x.deadline
+}
+
+// abandonment returns when the caller of a stream that has not begun is assumed to abandon it, counted from the arrival, but at most
+// the deadline.
+func (x *exchange) abandonment() time.Time {
+	if d := x.route.AbandonAfter(); d > 0 {
 		if t := x.arrived.Add(d); t.Before(x.deadline) {
 			return t
 		}
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -95,6 +95,8 @@
 	}
 	if x.headerWritten {
 		p.status, p.contentType = x.begunStatus, x.w.Header().Get("Content-Type")
+	} else {
+		p.req.Deadline = x.abandonment()
 	}
 	return p
 }
