--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -249,6 +249,7 @@
 		a.endTakeover(false)
 		return x.endForCallerLeft(), false
 	case errors.Is(context.Cause(a.ctx), errCutOff):
+		a.endTakeover(false)
 		return x.endForCutOff(), false
 	// The context has ended at the deadline, unless the response timer cancelled it.
 	case a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errNoResponse), time.Until(x.deadline) < minTimeForRetry:
