io/proxy: only streams go to a standby that has not responded, and they can leave it again

Requests other than streams now stay where they are, as their callers wait until the deadline, and a stream that was handed over without a response may return although its endpoint responds to others.

--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -75,8 +75,8 @@
 	}
 	a.watch(p, max(responseTimeoutFactor*a.grant.ExpectedLatency, minResponseTimeout), func() bool {
 		// An endpoint that responds to other requests is only busy; cancelling would waste the work it has done so far. From
-		// then on only the deadline limits the wait for this response.
-		return a.x.pool.RespondedSince(a.grant) || a.tryStandby(p)
+		// then on only the deadline limits the wait for this response, unless the request can return to the endpoint before.
+		return a.standby.handOvers == 0 && a.x.pool.RespondedSince(a.grant) || a.tryStandby(p)
 	})
 }
 
@@ -208,8 +208,8 @@
 	return a.x.handler.o.Budgets.TakeRetry(a.x.service)
 }
 
-// endOverlap gives the request to a standby that has not responded yet, if it can return and a retry is left for that, or else cancels
-// the standby.
+// endOverlap gives a stream to a standby that has not responded yet, if it can return and a retry is left for that, or else cancels
+// the standby. The callers of streams leave after a pause of two seconds or more; others wait until the deadline.
 func (a *attempt) endOverlap(b *attempt) {
 	x, t := a.x, &a.takeover
 	t.mu.Lock()
@@ -217,7 +217,7 @@
 	if t.standby != b || t.taken || t.ended {
 		return
 	}
-	b.standby.returnPaid = a.standby.handOvers < maxHandOvers && x.pool.MayReturn(time.Now(), a.grant) && x.handler.o.Budgets.TakeRetry(x.service)
+	b.standby.returnPaid = x.route.Kind == route.Stream && a.standby.handOvers < maxHandOvers && x.pool.MayReturn(time.Now(), a.grant) && x.handler.o.Budgets.TakeRetry(x.service)
 	if !b.standby.returnPaid {
 		t.standby = nil
 		b.cancel(errOverlapEnded)
