--- a/core/id.go
+++ b/core/id.go
@@ -48,6 +48,9 @@
 // OrderKey is a caller's idempotency key, qualified by its workspace.
 type OrderKey string
 
+// PartID identifies a part of a prompt, such as a system prompt that requests share.
+type PartID string
+
 // PrefixHash is the hash of a prompt prefix.
 type PrefixHash uint64
 
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -60,6 +60,7 @@
 	known    int          // number of requests known to be at the endpoint when it stated its load
 	takeover takeover
 	standby  standbyState
+	begun    time.Time // when the first bytes of the body were read; zero if none were
 }
 
 // newAttempt returns an attempt that has not begun. tried lists the endpoints of earlier attempts.
@@ -104,7 +105,21 @@
 }
 
 // recordResponseStart records the time to the first event.
-func (a *attempt) recordResponseStart() { a.x.pool.RecordFirstEvent(time.Now(), a.grant) }
+func (a *attempt) recordResponseStart() {
+	now := time.Now()
+	if a.begun.IsZero() {
+		a.begun = now
+	}
+	a.x.pool.RecordFirstEvent(now, a.grant)
+}
+
+// sinceBegun returns how long ago the endpoint began the body of its response; 0 if it has not.
+func (a *attempt) sinceBegun() time.Duration {
+	if a.begun.IsZero() {
+		return 0
+	}
+	return time.Since(a.begun)
+}
 
 // open sends the request and reads the header of the response. It does not change the exchange, as the attempt may be a standby.
 // beforeSend is called before the request is sent.
@@ -332,7 +347,7 @@
 	if cause := context.Cause(a.ctx); cause != nil {
 		err = cause
 	}
-	x.cause = err
+	x.cause, x.begun = err, a.sinceBegun()
 	// An at-most-once request continues after its caller has disconnected; see workContext.
 	if x.callerLeft() && x.route.Kind != route.AtMostOnce {
 		return x.endForCallerLeft(), false
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -56,6 +56,9 @@
 	Timeout   time.Duration // how long the caller waits; 0 if not stated
 	Prompt    core.Tokens   // length of the prompt
 	MaxOutput core.Tokens   // maximum length of the output
+	Model     string        // that is asked for; empty if not stated
+	// Parts are the parts of the prompt in order. The last one is the request's or its session's own; others may be shared.
+	Parts []core.PartID
 	// TokensStated reports whether the header states the numbers of tokens.
 	TokensStated bool
 	// LastEventID is the id of the last event of the stream that the caller has received; empty for a new stream.
@@ -217,6 +220,7 @@
 	knownLoad       int           // number of requests known to be at the endpoint when it stated its load
 	poolState       pool.State    // at the last decision of the pool
 	retryAfter      time.Duration // in the response to the caller
+	begun           time.Duration // from the beginning of the last response that failed to its failure
 	cause           error
 }
 
@@ -476,7 +480,7 @@
 		}
 		x.handler.stats.retries.Inc(1)
 		x.handler.o.Log.Info("repeat", "request", x.info.ID, "route", x.route.Name, "endpoint", a.grant.Endpoint.ID, "reason", r.reason,
-			"cause", errorText(x.cause), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes)
+			"cause", errorText(x.cause), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
 	}
 }
 
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
 	"monsoondale/common/framing"
+	"monsoondale/core"
 	"monsoondale/core/route"
 )
 
@@ -95,6 +97,9 @@
 	if x.lastEventID != "" {
 		values = append(values, "last", x.lastEventID)
 	}
+	if r.status >= http.StatusInternalServerError || r.abort {
+		values = append(values, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
+	}
 	if r.status == statusCallerLeft {
 		metrics.GetOrRegisterCounter("request.left."+string(x.stage), s.registry).Inc(1)
 		values = append(values, "left", x.stage)
@@ -108,6 +113,14 @@
 	x.handler.o.Log.Info("request", values...)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the first parts of the prompt, for the log.
+func (x *exchange) loggedParts() []core.PartID {
+	return x.info.Parts[:min(len(x.info.Parts), maxLoggedParts)]
+}
+
 // errorText returns the text of an error, or an empty string for nil.
 func errorText(err error) string {
 	if err == nil {
