core/quarantine, io/proxy, gateway: parts of prompts that crash endpoints are learned, and their requests refused

Callers saw requests fail that ran beside one whose prompt crashes endpoints: each such request was sent to an endpoint, and once more when that had ended, and the sound ones beside it met the next crash. The effect of a request on its endpoint was learned nowhere.

Cause, of the class 'a failure is charged to where it was seen, not to what caused it': the end of an endpoint counted against the endpoint only, and freed its requests, the one that caused it among them, to be sent on.

Instances exchange both in their digests and summaries, and the parts in quarantine are kept in the store. A request with one is refused with 503 before it is sent, also when it waits or is to be resumed.

--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -95,6 +95,13 @@
 	return g.endpointState.accepts(now)
 }
 
+// Leaving reports whether the endpoint of a grant is shutting down, according to its entry or its own responses.
+func (p *Pool) Leaving(g *Grant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return g.endpointState.leaving()
+}
+
 // pruneNotices drops the notices of endpoints that have not been listed for long.
 func (p *Pool) pruneNotices(now time.Time) {
 	for id, n := range p.notices {
--- /dev/null
+++ b/core/quarantine/crash.go
@@ -0,0 +1,247 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"monsoondale/core"
+	"monsoondale/core/route"
+)
+
+const (
+	// maxCrashes bounds the crashes that are kept, the newest ones.
+	maxCrashes = 64
+	// maxPromptParts bounds the parts of one prompt that a crash implicates, and maxCrashParts those of all prompts.
+	maxPromptParts = 256
+	maxCrashParts  = 512
+	// maxCrashPrompts bounds the prompts of a crash that are told to others.
+	maxCrashPrompts = 32
+	// maxCountedRequests bounds the requests of a crash that are told apart for a part.
+	maxCountedRequests = 4
+	// sameCrashTime is the time within which failures of requests at one process are due to the same crash. Entries of endpoints may
+	// not tell two processes apart, which start seconds after a crash.
+	sameCrashTime = 1500 * time.Millisecond
+)
+
+// Process is one start of an endpoint.
+type Process struct {
+	Service     route.Service
+	Endpoint    core.EndpointID
+	Incarnation int64 // 0 if unknown
+}
+
+// crashID identifies a crash in the whole fleet.
+type crashID struct {
+	Process
+	ordinal int // of the crash, if the process seems to crash repeatedly
+}
+
+// crash is a crash of an endpoint.
+type crash struct {
+	crashID
+	learned time.Time
+	parts   map[Part]*evidence
+	own     []Prompt // of requests of this instance
+	near    []Prompt // of requests of other instances of the data centre
+	told    told
+}
+
+// evidence is what a crash says about a part.
+type evidence struct {
+	requests []core.PartID // own parts of the requests
+	cleared  bool          // a request with the part has been served since
+}
+
+// RecordCrash records that an endpoint has crashed while a request was there whose response had not begun, or just had.
+func (l *Ledger) RecordCrash(now time.Time, p Process, prompt *Prompt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	id := crashID{Process: p}
+	for _, c := range l.crashes {
+		if c.Process == p && c.ordinal >= id.ordinal {
+			id.ordinal = c.ordinal
+			if now.Sub(c.learned) > sameCrashTime {
+				id.ordinal++
+			}
+		}
+	}
+	c := l.crash(now, id)
+	sample := l.sample(prompt)
+	l.implicate(c, &sample, func(Part) bool { return false })
+	if len(sample.Shared) > 0 && len(c.own) < maxCrashPrompts {
+		c.own = append(c.own, sample)
+		c.told, l.urgent = told{}, true
+	}
+	l.judge(now)
+}
+
+// crash returns the crash with an id, which it adds if needed.
+func (l *Ledger) crash(now time.Time, id crashID) *crash {
+	for _, c := range l.crashes {
+		if c.crashID == id {
+			return c
+		}
+	}
+	c := &crash{crashID: id, learned: now, parts: map[Part]*evidence{}}
+	l.crashes = append(l.crashes, c)
+	if n := len(l.crashes) - maxCrashes; n > 0 {
+		l.crashes = slices.Delete(l.crashes, 0, n)
+	}
+	return c
+}
+
+// sample returns a prompt with at most maxPromptParts shared parts, of which those that other crashes implicate come first.
+func (l *Ledger) sample(p *Prompt) Prompt {
+	s := *p
+	n := len(p.Shared)
+	if n <= maxPromptParts {
+		return s
+	}
+	var implicated, others []core.PartID
+	for i := range n {
+		id := p.Shared[(l.sampled+i)%n]
+		if l.hasEvidence(p.part(id)) {
+			implicated = append(implicated, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	l.sampled += maxPromptParts
+	s.Shared = append(implicated, others...)[:maxPromptParts]
+	return s
+}
+
+// implicate records that a request was at the endpoint when it crashed. cleared tells for which parts that is out of date.
+func (l *Ledger) implicate(c *crash, p *Prompt, cleared func(Part) bool) {
+	for _, id := range p.Shared {
+		part := p.part(id)
+		v := c.parts[part]
+		if v == nil {
+			if len(c.parts) >= maxCrashParts {
+				continue
+			}
+			v = &evidence{cleared: cleared(part)}
+			c.parts[part] = v
+		}
+		if len(v.requests) < maxCountedRequests && !slices.Contains(v.requests, p.Own) {
+			v.requests = append(v.requests, p.Own)
+		}
+	}
+}
+
+// hasEvidence reports whether there is evidence against a part.
+func (l *Ledger) hasEvidence(part Part) bool {
+	return slices.ContainsFunc(l.crashes, func(c *crash) bool {
+		v := c.parts[part]
+		return v != nil && !v.cleared
+	})
+}
+
+// clear discards the evidence against a part.
+func (l *Ledger) clear(part Part) {
+	for _, c := range l.crashes {
+		if v := c.parts[part]; v != nil {
+			v.cleared = true
+		}
+	}
+}
+
+// count is the evidence against a part.
+type count struct {
+	crashes  int // that no quarantined part explains
+	requests map[core.PartID]bool
+	served   bool // the part has been served before
+}
+
+// tally sums up the evidence against each part.
+func (l *Ledger) tally() map[Part]count {
+	var quarantined []Part
+	for part, e := range l.entries {
+		if e.Quarantined {
+			quarantined = append(quarantined, part)
+		}
+	}
+	counts := map[Part]count{}
+	for _, c := range l.crashes {
+		explained := slices.ContainsFunc(quarantined, func(q Part) bool { return c.parts[q] != nil })
+		for part, v := range c.parts {
+			if v.cleared || explained {
+				continue
+			}
+			n, ok := counts[part]
+			if !ok {
+				n = count{served: l.served.Contains(part), requests: map[core.PartID]bool{}}
+			}
+			n.crashes++
+			for _, id := range v.requests {
+				n.requests[id] = true
+			}
+			counts[part] = n
+		}
+	}
+	return counts
+}
+
+// judge quarantines the parts against which there is enough evidence, those with the strongest first: what they explain no
+// longer counts against others. Parts with equal evidence can't be told apart.
+func (l *Ledger) judge(now time.Time) {
+	for {
+		best := count{}
+		var parts []Part
+		for part, n := range l.tally() {
+			if e := l.entries[part]; e != nil && e.Quarantined || !l.sufficient(part, n) {
+				continue
+			}
+			switch c := n.compare(best); {
+			case c > 0:
+				best, parts = n, []Part{part}
+			case c == 0:
+				parts = append(parts, part)
+			}
+		}
+		if len(parts) == 0 {
+			return
+		}
+		for _, part := range parts {
+			l.quarantine(now, part, best)
+		}
+	}
+}
+
+// sufficient reports whether the evidence against a part is enough for a quarantine.
+func (l *Ledger) sufficient(part Part, n count) bool {
+	switch {
+	case n.served:
+		return n.crashes >= servedCrashes && len(n.requests) >= minRequests
+	case l.quarantinedElsewhere(part):
+		return n.crashes >= knownCrashes
+	}
+	return n.crashes >= minCrashes && len(n.requests) >= minRequests
+}
+
+// quarantinedElsewhere reports whether a part is quarantined for another model or service.
+func (l *Ledger) quarantinedElsewhere(part Part) bool {
+	for _, e := range l.entries {
+		if e.Quarantined && e.ID == part.ID && e.Scope != part.Scope {
+			return true
+		}
+	}
+	return false
+}
+
+// compare orders evidence by its strength.
+func (n count) compare(m count) int {
+	switch {
+	case m.crashes == 0:
+		return 1
+	case n.served != m.served:
+		if m.served {
+			return 1
+		}
+		return -1
+	case n.crashes != m.crashes:
+		return n.crashes - m.crashes
+	}
+	return len(n.requests) - len(m.requests)
+}
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -12,6 +12,7 @@
 
 	"monsoondale/core"
 	"monsoondale/core/fleet"
+	"monsoondale/core/quarantine"
 	"monsoondale/core/quota"
 	"monsoondale/core/route"
 	wire "monsoondale/wire/mesh"
@@ -56,6 +57,8 @@
 		r := g.budgets.ledger.Report(now)
 		g.budgets.mu.Unlock()
 		d.Used, d.Total = g.encodeUsage(now, r)
+		parts := g.quarantine.Report(now, quarantine.Near)
+		d.Crashes, d.Parts = encodeCrashes(parts.Crashes), encodeParts(parts.Entries)
 		n := min(len(g.forward), maxForwarded)
 		d.Far, g.forward = g.forward[:n:n], g.forward[n:]
 		g.send(d, g.fleet.StateTargets())
@@ -102,6 +105,8 @@
 	r := g.budgets.ledger.CentreReport(now)
 	g.budgets.mu.Unlock()
 	w.Used, w.Total = g.encodeUsage(now, r)
+	parts := g.quarantine.Report(now, quarantine.Far)
+	w.Crashes, w.Parts = encodeCrashes(parts.Crashes), encodeParts(parts.Entries)
 	return w
 }
 
@@ -170,6 +175,7 @@
 	if summarizes {
 		return // without loads and usage of its own
 	}
+	g.applyQuarantine(now, d.Crashes, d.Parts, true)
 	sameCentre := from.Centre == g.o.Settings.Centre
 	// What an instance elsewhere has done is part of the sum of its data centre.
 	if sameCentre || g.fleet.Flat() || !g.fleet.CentreHeard(now, from.Centre) {
@@ -198,6 +204,7 @@
 	if direct {
 		g.forward = append(slices.DeleteFunc(g.forward, func(s wire.Summary) bool { return s.From == w.From }), *w)
 	}
+	g.applyQuarantine(now, w.Crashes, w.Parts, false)
 	validity := fleet.Validity(milliseconds(w.Every) + g.fleet.Interval())
 	if primary {
 		g.applyReports(now, core.InstanceID("centre "+w.Centre), false, w.Pools, reportAge(w.Age), validity)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"monsoondale/core/fleet"
 	"monsoondale/core/mirror"
 	"monsoondale/core/pool"
+	"monsoondale/core/quarantine"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
 	"monsoondale/io/mesh"
@@ -90,8 +91,12 @@
 	leaving         atomic.Bool
 	// recording is set while a record of the usage of workspaces is being written.
 	recording atomic.Bool
-	updates   chan update
-	digests   chan wire.Digest
+	// quarantine holds the parts of prompts that crash endpoints. partsKnown is set once those from before the start are known;
+	// savingParts and reservingTrial while the record of them is being written, and partsUnsaved after that has failed.
+	quarantine                                            *quarantine.Ledger
+	partsKnown, savingParts, reservingTrial, partsUnsaved atomic.Bool
+	updates                                               chan update
+	digests                                               chan wire.Digest
 	// watcherIndex is the position of this instance among those that watch the store, or -1; unreadableCollections is
 	// the number of collections that it cannot read there.
 	watcherIndex          atomic.Int64
@@ -119,6 +124,9 @@
 	digestNumber      int
 	lastTick          time.Time
 	lastRecordAttempt time.Time
+	lastPartsAttempt  time.Time
+	partsSaved        int  // quarantine.Changes when the parts were last written
+	partsInForce      bool // requests are served, as partsKnown was set
 	lastWallTime      time.Time
 }
 
@@ -137,6 +145,9 @@
 		fleet:     fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
 	g.budgets = newBudgets(g.start, s)
+	g.quarantine = quarantine.New(quarantine.Options{Log: o.Log})
+	metrics.NewRegisteredFunctionalGauge("parts.quarantined", g.metrics, func() int64 { n, _ := g.quarantine.Size(); return int64(n) })
+	metrics.NewRegisteredFunctionalGauge("parts.crashes", g.metrics, func() int64 { _, n := g.quarantine.Size(); return int64(n) })
 	for c := range collectionCount {
 		o := mirror.Options{}
 		if c == Endpoints {
@@ -148,6 +159,7 @@
 	g.client = endpoint.New(endpoint.Options{RequestIDHeader: o.RequestIDHeader})
 	g.proxy = proxy.New(proxy.Options{
 		Headers: o.Headers, Client: g.client, Budgets: g.budgets, Config: func() proxy.Config { return *g.config.Load() },
+		Quarantine: g.quarantine, ReserveTrial: g.reserveTrial,
 		Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
 	})
 	var err error
@@ -184,7 +196,7 @@
 			w.run(ctx)
 		}()
 	}
-	for _, run := range []func(context.Context){g.register, g.restoreUsage, g.watchStandstill} {
+	for _, run := range []func(context.Context){g.register, g.restoreUsage, g.restoreParts, g.watchStandstill} {
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
@@ -211,6 +223,8 @@
 		}
 		w.Write(b) // only the scraper is affected by a failed write
 	})
+	scrape.HandleFunc("GET /parts", g.listParts)
+	scrape.HandleFunc("DELETE /parts/{id}", g.releaseParts)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -322,6 +336,10 @@
 			now := time.Now()
 			g.tick(now)
 			g.recordUsage(ctx, now)
+			if g.partsUnsaved.Swap(false) {
+				g.partsSaved = -1
+			}
+			g.saveParts(ctx, now)
 		}
 	}
 }
@@ -345,6 +363,14 @@
 	if g.mirrors[Endpoints].Expire(now) {
 		g.activate(now, Endpoints, "expiry")
 	}
+	if !g.partsInForce && g.partsKnown.Load() {
+		g.partsInForce = true
+		g.publishConfig()
+		g.declareReady()
+	}
+	if g.quarantine.TakeUrgent() {
+		g.fleet.Hasten()
+	}
 	if now.Sub(g.fleetUpdated) >= fleetInterval {
 		g.fleetUpdated = now
 		g.updateFleet(now)
@@ -457,7 +483,12 @@
 	case Instances:
 		g.activateMembers(now, items)
 	}
-	if g.table != nil && g.mirrors[Endpoints].Synced() && !g.ready.Load() {
+	g.declareReady()
+}
+
+// declareReady makes the instance ready once it knows a configuration, the endpoints and the parts in quarantine.
+func (g *Gateway) declareReady() {
+	if g.table != nil && g.mirrors[Endpoints].Synced() && g.partsInForce && !g.ready.Load() {
 		g.ready.Store(true)
 		g.log.Info("ready", "version", g.table.Version(), "revision", g.mirrors[Endpoints].Revision())
 	}
@@ -540,7 +571,7 @@
 // publishConfig passes the configuration and the pools to the goroutines that serve requests.
 func (g *Gateway) publishConfig() {
 	c := &proxy.Config{Table: g.table, Pools: make(map[route.Service]*pool.Pool, len(g.pools))}
-	if !g.mirrors[Endpoints].Synced() {
+	if !g.mirrors[Endpoints].Synced() || !g.partsInForce {
 		c.Table = nil
 	}
 	for s, p := range g.pools {
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"monsoondale/core"
+	"monsoondale/core/quarantine"
+	"monsoondale/core/route"
+	wire "monsoondale/wire/mesh"
+)
+
+const (
+	// partsObjectName is the name of the object that holds the quarantined parts.
+	partsObjectName = "parts"
+	// partsInterval is the shortest time between two writes of it.
+	partsInterval = time.Second
+	// partsPatience is how long an instance that starts waits for the quarantined parts before it serves requests.
+	partsPatience = time.Second
+	// trialTimeout is the time limit for reserving a trial.
+	trialTimeout = 500 * time.Millisecond
+)
+
+// saveParts writes the quarantined parts to the store if they have changed and this instance is the first of those that watch the
+// store.
+func (g *Gateway) saveParts(ctx context.Context, now time.Time) {
+	changes := g.quarantine.Changes()
+	if changes == g.partsSaved || now.Sub(g.lastPartsAttempt) < partsInterval || g.leaving.Load() || g.watcherIndex.Load() != 0 || !g.savingParts.CompareAndSwap(false, true) {
+		return
+	}
+	g.lastPartsAttempt, g.partsSaved = now, changes
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		defer g.savingParts.Store(false)
+		err := g.writeParts(ctx)
+		if errors.Is(err, ErrChanged) { // by an instance that has reserved a trial, or that was the first one before
+			if _, err = g.loadParts(ctx); err == nil {
+				err = g.writeParts(ctx)
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			g.log.Info("parts not recorded", "cause", err.Error())
+			g.partsUnsaved.Store(true)
+		}
+	}()
+}
+
+// writeParts writes the quarantined parts to the store.
+func (g *Gateway) writeParts(ctx context.Context) error {
+	b, err := json.Marshal(wire.Parts{Parts: encodeParts(g.quarantine.Entries(time.Now()))})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return g.o.Store.Save(ctx, partsObjectName, b)
+}
+
+// loadParts reads the quarantined parts from the store. It returns their number.
+func (g *Gateway) loadParts(ctx context.Context) (int, error) {
+	b, ok, err := g.o.Store.Load(ctx, partsObjectName)
+	if err != nil || !ok {
+		return 0, err
+	}
+	var w wire.Parts
+	if err := json.Unmarshal(b, &w); err != nil {
+		return 0, errors.Wrap(err, "decode parts")
+	}
+	g.quarantine.Apply(time.Now(), quarantine.Report{Entries: decodeParts(w.Parts)}, true)
+	return len(w.Parts), nil
+}
+
+// restoreParts reads the quarantined parts from before the start of this process. Requests are served once they are known, or after
+// partsPatience.
+func (g *Gateway) restoreParts(ctx context.Context) {
+	patience := time.AfterFunc(partsPatience, func() { g.partsKnown.Store(true) })
+	defer patience.Stop()
+	for wait := minStoreBackoff; ctx.Err() == nil; wait = min(2*wait, maxStoreBackoff) {
+		n, err := g.loadParts(ctx)
+		if err == nil {
+			g.log.Info("parts restored", "parts", n)
+			g.partsKnown.Store(true)
+			return
+		}
+		g.log.Info("parts not restored", "cause", err.Error())
+		sleep(ctx, wait)
+	}
+}
+
+// reserveTrial reports whether this instance may send a request in spite of its quarantined parts. The store decides which instance may:
+// of those that write the record at once, one succeeds.
+func (g *Gateway) reserveTrial(ctx context.Context, p *quarantine.Prompt) bool {
+	if !g.quarantine.TrialDue(time.Now(), p) || !g.reservingTrial.CompareAndSwap(false, true) {
+		return false
+	}
+	defer g.reservingTrial.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	_, err := g.loadParts(ctx)
+	if now := time.Now(); err == nil {
+		if !g.quarantine.TrialDue(now, p) {
+			return false // another instance has sent one
+		}
+		g.quarantine.StartTrial(now, p)
+		err = g.writeParts(ctx)
+	}
+	if err != nil {
+		g.log.Info("no trial", "cause", err.Error())
+	}
+	return err == nil
+}
+
+// applyQuarantine applies what another instance tells about crashes and parts.
+func (g *Gateway) applyQuarantine(now time.Time, crashes []wire.Crash, parts []wire.Part, near bool) {
+	g.quarantine.Apply(now, quarantine.Report{Crashes: decodeCrashes(crashes), Entries: decodeParts(parts)}, near)
+}
+
+// listParts responds with the quarantined parts.
+func (g *Gateway) listParts(w http.ResponseWriter, _ *http.Request) {
+	b, err := json.Marshal(wire.Parts{Parts: encodeParts(g.quarantine.Entries(time.Now()))})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(b) // only the operator is affected by a failed write
+}
+
+// releaseParts ends the quarantine of a part, on all instances, for all services and models or for those that the query names.
+func (g *Gateway) releaseParts(w http.ResponseWriter, r *http.Request) {
+	now, q, n := time.Now(), r.URL.Query(), 0
+	for _, e := range g.quarantine.Entries(now) {
+		if e.ID != core.PartID(r.PathValue("id")) || q.Has("service") && q.Get("service") != string(e.Service) || q.Has("model") && q.Get("model") != e.Model {
+			continue
+		}
+		if g.quarantine.Release(now, e.Part) {
+			n++
+		}
+	}
+	if n == 0 {
+		http.Error(w, "no such part in quarantine", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// encodeCrashes converts crashes to their wire format.
+func encodeCrashes(crashes []quarantine.Crash) []wire.Crash {
+	return lo.Map(crashes, func(c quarantine.Crash, _ int) wire.Crash {
+		return wire.Crash{
+			Service: string(c.Service), Endpoint: string(c.Endpoint), Born: int(c.Incarnation), Ordinal: c.Ordinal,
+			Prompts: lo.Map(c.Prompts, func(p quarantine.CrashPrompt, _ int) wire.Prompt {
+				return wire.Prompt{Model: p.Model, Shared: fromPartIDs(p.Shared), Served: fromPartIDs(p.Served), Own: string(p.Own)}
+			}),
+		}
+	})
+}
+
+// decodeCrashes converts crashes from their wire format.
+func decodeCrashes(crashes []wire.Crash) []quarantine.Crash {
+	return lo.Map(crashes, func(w wire.Crash, _ int) quarantine.Crash {
+		service := route.Service(w.Service)
+		c := quarantine.Crash{Process: quarantine.Process{Service: service, Endpoint: core.EndpointID(w.Endpoint), Incarnation: int64(w.Born)}, Ordinal: w.Ordinal}
+		for _, p := range w.Prompts {
+			c.Prompts = append(c.Prompts, quarantine.CrashPrompt{
+				Prompt: quarantine.Prompt{Scope: quarantine.Scope{Service: service, Model: p.Model}, Shared: toPartIDs(p.Shared), Own: core.PartID(p.Own)},
+				Served: toPartIDs(p.Served),
+			})
+		}
+		return c
+	})
+}
+
+// encodeParts converts entries of the quarantine to their wire format.
+func encodeParts(entries []quarantine.Entry) []wire.Part {
+	return lo.Map(entries, func(e quarantine.Entry, _ int) wire.Part {
+		return wire.Part{
+			Service: string(e.Service), Model: e.Model, Id: string(e.ID), Version: int(e.Version), Quarantined: e.Quarantined,
+			Crashes: e.Crashes, Requests: e.Requests, Trials: e.Trials, Idle: int(e.Idle.Milliseconds()),
+		}
+	})
+}
+
+// decodeParts converts entries of the quarantine from their wire format.
+func decodeParts(parts []wire.Part) []quarantine.Entry {
+	return lo.Map(parts, func(w wire.Part, _ int) quarantine.Entry {
+		return quarantine.Entry{
+			Part:    quarantine.Part{Scope: quarantine.Scope{Service: route.Service(w.Service), Model: w.Model}, ID: core.PartID(w.Id)},
+			Version: int64(w.Version), Quarantined: w.Quarantined, Crashes: w.Crashes, Requests: w.Requests, Trials: w.Trials,
+			Idle: milliseconds(min(max(w.Idle, 0), maxFigure)),
+		}
+	})
+}
+
+// fromPartIDs converts ids of parts to their wire format.
+func fromPartIDs(ids []core.PartID) []string {
+	return lo.Map(ids, func(id core.PartID, _ int) string { return string(id) })
+}
+
+// toPartIDs converts ids of parts from their wire format.
+func toPartIDs(ids []string) []core.PartID {
+	return lo.Map(ids, func(id string, _ int) core.PartID { return core.PartID(id) })
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/pool"
+	"monsoondale/core/quarantine"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
 )
@@ -61,6 +62,9 @@
 	takeover takeover
 	standby  standbyState
 	begun    time.Time // when the first bytes of the body were read; zero if none were
+	// servedRecorded is set once the endpoint is known not to crash under the request.
+	servedRecorded bool
+	trial          bool // it is sent in spite of the quarantined parts of its prompt
 }
 
 // newAttempt returns an attempt that has not begun. tried lists the endpoints of earlier attempts.
@@ -147,6 +151,9 @@
 			if !x.pool.Accepts(time.Now(), a.grant) {
 				return errEndpointClosed
 			}
+			if err := a.maySend(); err != nil {
+				return err
+			}
 			beforeSend()
 			return nil
 		},
@@ -162,6 +169,9 @@
 // outcomeIfNotRun returns the outcome of an attempt at an endpoint that certainly did not run the request. ok is false if it may have
 // run.
 func (a *attempt) outcomeIfNotRun() (o pool.Outcome, reason string, ok bool) {
+	if _, ok := a.stoppedByQuarantine(); ok {
+		return pool.Cancelled, quarantineReason, true
+	}
 	switch {
 	case !a.sent() && errors.Is(a.err, errEndpointClosed):
 		return pool.Cancelled, "endpoint leaves or waits", true
@@ -274,6 +284,7 @@
 // handleNotRun decides whether a request that an endpoint did not run is sent to another one.
 func (a *attempt) handleNotRun(reason string) (result, bool) {
 	x := a.x
+	part, stopped := a.stoppedByQuarantine()
 	switch {
 	case x.callerLeft():
 		a.endTakeover(false)
@@ -286,6 +297,9 @@
 		a.endTakeover(false)
 		return x.failOrRefuse("deadline", shortRetryAfter), false
 	case a.claimStandby():
+	case stopped:
+		x.recordQuarantine(part)
+		return x.failOrRefuse(quarantineReason, quarantine.RetryAfter), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.failOrRefuse("deadline", shortRetryAfter), false
 	case x.possibleRuns >= x.route.Attempts && !a.canReturn():
@@ -372,10 +386,13 @@
 		a.outcome = pool.Silent
 		x.givenUp = append(x.givenUp, a.grant.Endpoint.ID)
 	}
+	mayRepeat := a.mayRepeatAfter(err)
 	switch {
 	case !x.route.Retryable(), x.notResumable:
 		return x.respondError(http.StatusBadGateway, "endpoint failed"), false
 	case a.claimStandby():
+	case !mayRepeat:
+		return x.respondError(http.StatusBadGateway, "endpoint failed, its request may have crashed it"), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.respondError(http.StatusGatewayTimeout, "deadline"), false
 	case !x.mayRunAgain():
@@ -405,6 +422,7 @@
 		return a.handleFailedAttempt(errNoResponse)
 	}
 	resp.MarkBodyRead()
+	a.recordServed()
 	a.outcome = pool.Served
 	if failed {
 		a.outcome = pool.ServerError
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -23,6 +23,7 @@
 	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/pool"
+	"monsoondale/core/quarantine"
 	"monsoondale/core/route"
 	"monsoondale/io/endpoint"
 )
@@ -126,6 +127,9 @@
 	Config  func() Config
 	Log     logr.Logger
 	Metrics metrics.Registry
+	// Quarantine and ReserveTrial may be nil.
+	Quarantine   Quarantine
+	ReserveTrial ReserveTrial
 	// MaxBuffered limits the bytes that the bodies of all requests and responses occupy at once; 0 for no limit.
 	MaxBuffered int64
 }
@@ -139,6 +143,7 @@
 	keepAliveLimit atomic.Int64 // number of open connections above which responses close them; 0 for no limit
 	stats          stats
 	memory         bodyMemory
+	probes         crashProbes
 }
 
 // New returns a Handler.
@@ -182,6 +187,7 @@
 	workspace  *route.Workspace
 	service    route.Service
 	pool       *pool.Pool
+	prompt     quarantine.Prompt
 	body       []byte
 	reserved   int64     // bytes of buffers
 	units      float64   // that the request costs in the workspace's quota; 0 if there is no workspace
@@ -212,6 +218,8 @@
 	lastEvents      time.Time         // when events of a stream were last written
 	longestPause    time.Duration     // between events of a stream
 	endpointID      core.EndpointID
+	trial           bool        // the request is sent once in spite of its quarantined parts
+	quarantinedPart core.PartID // because of which the request was not sent
 	stage           stage
 	queueTime       time.Duration
 	expectedLatency time.Duration // to the first event, as predicted by the pool
@@ -381,6 +389,10 @@
 	if x.pool == nil {
 		return x.refuse(http.StatusServiceUnavailable, "no endpoints", startupRetryAfter)
 	}
+	x.setPrompt()
+	if r, refused := x.refuseQuarantined(); refused {
+		return r
+	}
 	if x.workspace != nil {
 		x.units = x.workspace.Quota.Cost(x.info.Prompt+x.info.MaxOutput, x.info.TokensStated)
 		// The rank is the tier of the route, even if the workspace has a tier.
@@ -508,7 +520,9 @@
 	if g == nil {
 		return nil, r
 	}
-	return x.newAttempt(ctx, g, x.lastEventID, x.tried), result{}
+	a := x.newAttempt(ctx, g, x.lastEventID, x.tried)
+	a.trial = x.trial && x.sends == 0
+	return a, result{}
 }
 
 // acquireEndpoint waits until the pool grants an endpoint. The grant is nil if the request has ended.
--- a/io/proxy/standby.go
+++ b/io/proxy/standby.go
@@ -52,7 +52,10 @@
 		}
 	}()
 	a.open(func() {})
-	return a.prove(p)
+	if o, err = a.prove(p); o == pool.Broken {
+		a.recordCrash(err)
+	}
+	return o, err
 }
 
 // mayHaveRun reports whether the endpoint may have run the request.
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -100,6 +100,12 @@
 	if r.status >= http.StatusInternalServerError || r.abort {
 		values = append(values, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
 	}
+	if x.quarantinedPart != "" {
+		values = append(values, "part", x.quarantinedPart)
+	}
+	if x.trial {
+		values = append(values, "trial", true)
+	}
 	if r.status == statusCallerLeft {
 		metrics.GetOrRegisterCounter("request.left."+string(x.stage), s.registry).Inc(1)
 		values = append(values, "left", x.stage)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -60,6 +60,9 @@
 				a.recordResponseStart()
 				a.watchSilence()
 			}
+			if lastRead.Sub(firstRead) >= provenAfter {
+				a.recordServed()
+			}
 		}
 		events, scanErr := scanEvents(buf, x.lastEventID, continued)
 		numbered += events.numbered
@@ -99,6 +102,7 @@
 		return a.handleFailedAttempt(endErr)
 	}
 	resp.MarkBodyRead()
+	a.recordServed()
 	a.outcome = pool.Served
 	a.recordResponseStart()
 	// Writes the header if the stream had no data.
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -143,6 +143,9 @@
 func (a *attempt) tryStandby(p *standbyPlan) time.Duration {
 	x, now := a.x, time.Now()
 	p = a.withStandbys(p)
+	if _, ok := x.quarantined(); ok {
+		return 0
+	}
 	if p.req.Deadline.Sub(now) < minTimeForRetry || !p.mayRunElsewhere(x.route) {
 		return 0
 	}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -22,6 +22,26 @@
 	Revision int `json:"revision"`
 }
 
+// Crash is a crash of an endpoint that was started at Born, in Unix milliseconds
+// (0 if unknown); Ordinal counts the crashes of endpoints that cannot be told
+// apart by it. Prompts are those of requests that were there.
+type Crash struct {
+	// Born corresponds to the JSON schema field "born".
+	Born int `json:"born,omitempty,omitzero"`
+
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint string `json:"endpoint"`
+
+	// Ordinal corresponds to the JSON schema field "ordinal".
+	Ordinal int `json:"ordinal,omitempty,omitzero"`
+
+	// Prompts corresponds to the JSON schema field "prompts".
+	Prompts []Prompt `json:"prompts"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // Digest is the state of an instance. Start is the time at which its process
 // started, in Unix milliseconds; Number counts its digests. Routes, Entries and
 // Members are the revisions of its configuration, its list of endpoints and its
@@ -31,7 +51,8 @@
 // sender's data centre; Every is the number of milliseconds until its next digest.
 // Far are the summaries of other data centres that the sender has received since
 // the last digest. A digest with a summary of the sender's own data centre is for
-// instances of other data centres.
+// instances of other data centres. Crashes are those of endpoints with requests of
+// the sender, Parts those in quarantine or released lately.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -42,6 +63,9 @@
 	// Centre corresponds to the JSON schema field "centre".
 	Centre string `json:"centre,omitempty,omitzero"`
 
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes []Crash `json:"crashes,omitempty,omitzero"`
+
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
@@ -63,6 +87,9 @@
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
+	// Parts corresponds to the JSON schema field "parts".
+	Parts []Part `json:"parts,omitempty,omitzero"`
+
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
@@ -96,6 +123,46 @@
 	Revision int `json:"revision"`
 }
 
+// Part is a part of prompts that is in quarantine, or has been released. Crashes
+// and Requests are the numbers of crashes and of requests under them that led to
+// the quarantine, Trials the requests that were sent in spite of it, and Idle the
+// milliseconds since one was last refused. The highest Version counts.
+type Part struct {
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes int `json:"crashes,omitempty,omitzero"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Idle corresponds to the JSON schema field "idle".
+	Idle int `json:"idle,omitempty,omitzero"`
+
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// Quarantined corresponds to the JSON schema field "quarantined".
+	Quarantined bool `json:"quarantined,omitempty,omitzero"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Trials corresponds to the JSON schema field "trials".
+	Trials int `json:"trials,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
+// Parts is the record of the parts that are in quarantine, for instances that
+// start.
+type Parts struct {
+	// Parts corresponds to the JSON schema field "parts".
+	Parts []Part `json:"parts"`
+}
+
 // Pool is the sender's load at the endpoints of one service. Endpoints, Running
 // and Reading have an entry for each endpoint with load: its id, the requests in
 // progress, and the prompt tokens that it has not read. Waiting has the number of
@@ -140,6 +207,22 @@
 	Waiting []int `json:"waiting,omitempty,omitzero"`
 }
 
+// Prompt lists the parts of a request's prompt that others may share, those of
+// them that have been served before, and its own part.
+type Prompt struct {
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// Own corresponds to the JSON schema field "own".
+	Own string `json:"own"`
+
+	// Served corresponds to the JSON schema field "served".
+	Served []string `json:"served,omitempty,omitzero"`
+
+	// Shared corresponds to the JSON schema field "shared".
+	Shared []string `json:"shared"`
+}
+
 // Record is the use of workspaces as of Time, in Unix milliseconds. Slices has,
 // for each workspace, the units used in each part of the window, the newest last.
 type Record struct {
@@ -157,7 +240,7 @@
 // are those that are listed but not heard. Watchers are the first that can read
 // the store. Young tells that one has started recently. Pools, Used and Total are
 // as in a digest, for the whole data centre; Age is the mean age of the loads in
-// milliseconds.
+// milliseconds. Crashes and Parts are as in a digest.
 type Summary struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -168,6 +251,9 @@
 	// Centre corresponds to the JSON schema field "centre".
 	Centre string `json:"centre"`
 
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes []Crash `json:"crashes,omitempty,omitzero"`
+
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
@@ -186,6 +272,9 @@
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
+	// Parts corresponds to the JSON schema field "parts".
+	Parts []Part `json:"parts,omitempty,omitzero"`
+
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
