--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -49,6 +49,8 @@
 // evidence is what a crash says about a part.
 type evidence struct {
 	requests []core.PartID // own parts of the requests
+	// servedBefore is the number of requests that had been served.
+	servedBefore int
 	cleared  bool          // a request with the part has been served since
 }
 
@@ -121,7 +123,7 @@
 			if len(c.parts) >= maxCrashParts {
 				continue
 			}
-			v = &evidence{cleared: cleared(part)}
+			v = &evidence{cleared: cleared(part), servedBefore: l.servedRequests}
 			c.parts[part] = v
 		}
 		if len(v.requests) < maxCountedRequests && !slices.Contains(v.requests, p.Own) {
@@ -150,28 +152,44 @@
 // count is the evidence against a part.
 type count struct {
 	crashes  int // that no quarantined part explains
+	others   int // requests without the part that have been served since the first of them
 	requests map[core.PartID]bool
 	served   bool // the part has been served before
 }
 
-// tally sums up the evidence against each part.
+// tally sums up the evidence against each part. A crash that a quarantined part explains does not count against others, except for
+// parts that have never been served and were under more crashes: the quarantined one may have been beside them by chance.
 func (l *Ledger) tally() map[Part]count {
-	var quarantined []Part
-	for part, e := range l.entries {
+	all := map[Part]int{} // crashes, explained or not
+	for _, c := range l.crashes {
+		for part, v := range c.parts {
+			if !v.cleared {
+				all[part]++
+			}
+		}
+	}
+	var quarantined []*entry
+	for _, e := range l.entries {
 		if e.Quarantined {
-			quarantined = append(quarantined, part)
+			quarantined = append(quarantined, e)
 		}
 	}
 	counts := map[Part]count{}
 	for _, c := range l.crashes {
-		explained := slices.ContainsFunc(quarantined, func(q Part) bool { return c.parts[q] != nil })
+		explained := 0 // crashes under the strongest explanation; 0 if there is none
+		for _, e := range quarantined {
+			if c.parts[e.Part] != nil {
+				explained = max(explained, e.Crashes, all[e.Part])
+			}
+		}
 		for part, v := range c.parts {
-			if v.cleared || explained {
+			served := l.served.Contains(part)
+			if v.cleared || all[part] <= explained || served && explained > 0 {
 				continue
 			}
 			n, ok := counts[part]
 			if !ok {
-				n = count{served: l.served.Contains(part), requests: map[core.PartID]bool{}}
+				n = count{served: served, others: l.servedRequests - v.servedBefore, requests: map[core.PartID]bool{}}
 			}
 			n.crashes++
 			for _, id := range v.requests {
@@ -212,8 +230,10 @@
 // sufficient reports whether the evidence against a part is enough for a quarantine.
 func (l *Ledger) sufficient(part Part, n count) bool {
 	switch {
+	case n.crashes >= certainCrashes:
+		return !n.served || n.others >= minOthers
 	case n.served:
-		return n.crashes >= servedCrashes && len(n.requests) >= minRequests
+		return false
 	case l.quarantinedElsewhere(part):
 		return n.crashes >= knownCrashes
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -14,14 +14,16 @@
 )
 
 const (
-	// minCrashes is the number of crashes after which a part is quarantined. Fewer happen by chance to the parts of a
-	// request that is repeated beside the one that crashes endpoints.
-	minCrashes = 3
-	// minRequests is the number of requests, told apart by their own parts, under which these crashes must have been.
-	minRequests = 2
-	// servedCrashes replaces minCrashes for a part that has been served before: it is likely to have been beside another one.
-	servedCrashes = 5
-	// knownCrashes replaces minCrashes, and minRequests, for a part that is quarantined for another model or service.
+	// minCrashes is the number of crashes after which a part is quarantined, if they were under minRequests requests, told apart
+	// by their own parts. Fewer happen by chance to the parts of a session whose requests are repeated beside the one that crashes endpoints.
+	minCrashes  = 3
+	minRequests = 3
+	// certainCrashes is the number after which it is quarantined in any case. A part that has been served before is likely to
+	// have been beside another one, so that minCrashes is not enough. It is quarantined only if minOthers requests without it have been
+	// served since: else no endpoint may be up, and no part can be cleared.
+	certainCrashes = 5
+	minOthers      = 10
+	// knownCrashes replaces these numbers for a part that is quarantined for another model or service.
 	knownCrashes = 1
 	// suspectCrashes is the number of crashes after which a request with the part is not repeated when its endpoint has crashed.
 	suspectCrashes = 2
@@ -107,6 +109,8 @@
 	crashes []*crash // the newest last
 	entries map[Part]*entry
 	served  *simplelru.LRU[Part, struct{}]
+	// servedRequests is the number of requests with parts that this instance has served.
+	servedRequests int
 	clock   int64 // highest version of an entry
 	changes int   // number of changes of quarantined parts and their trials
 	urgent  bool  // there is something that the others should learn at once
@@ -177,6 +181,7 @@
 func (l *Ledger) RecordServed(now time.Time, p *Prompt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.servedRequests++
 	for _, id := range p.Shared[:min(len(p.Shared), maxPromptParts)] {
 		l.served.Add(p.part(id), struct{}{})
 	}
