--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -51,7 +51,7 @@
 	requests []core.PartID // own parts of the requests
 	// servedBefore is the number of requests that had been served.
 	servedBefore int
-	cleared  bool          // a request with the part has been served since
+	cleared      bool // a request with the part has been served since
 }
 
 // RecordCrash records that an endpoint has crashed while a request was there whose response had not begun, or just had.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -111,11 +111,11 @@
 	served  *simplelru.LRU[Part, struct{}]
 	// servedRequests is the number of requests with parts that this instance has served.
 	servedRequests int
-	clock   int64 // highest version of an entry
-	changes int   // number of changes of quarantined parts and their trials
-	urgent  bool  // there is something that the others should learn at once
-	rotate  int   // makes successive reports tell all quarantined parts in turn
-	sampled int   // makes successive crashes sample all parts of long prompts in turn
+	clock          int64 // highest version of an entry
+	changes        int   // number of changes of quarantined parts and their trials
+	urgent         bool  // there is something that the others should learn at once
+	rotate         int   // makes successive reports tell all quarantined parts in turn
+	sampled        int   // makes successive crashes sample all parts of long prompts in turn
 }
 
 // New returns a Ledger that knows nothing.
