--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,12 +91,11 @@
 	leaving         atomic.Bool
 	// recording is set while a record of the usage of workspaces is being written.
 	recording atomic.Bool
-	// quarantine holds the parts of prompts that crash endpoints. partsKnown is set once those from before the start are known;
-	// savingParts and reservingTrial while the record of them is being written, and partsUnsaved after that has failed.
-	quarantine                                            *quarantine.Ledger
-	partsKnown, savingParts, reservingTrial, partsUnsaved atomic.Bool
-	updates                                               chan update
-	digests                                               chan wire.Digest
+	// quarantine holds the parts of prompts that crash endpoints.
+	quarantine *quarantine.Ledger
+	parts      partsRecord
+	updates    chan update
+	digests    chan wire.Digest
 	// watcherIndex is the position of this instance among those that watch the store, or -1; unreadableCollections is
 	// the number of collections that it cannot read there.
 	watcherIndex          atomic.Int64
@@ -124,9 +123,7 @@
 	digestNumber      int
 	lastTick          time.Time
 	lastRecordAttempt time.Time
-	lastPartsAttempt  time.Time
-	partsSaved        int  // quarantine.Changes when the parts were last written
-	partsInForce      bool // requests are served, as partsKnown was set
+	partsInForce      bool // requests are served, as parts.known was set
 	lastWallTime      time.Time
 }
 
@@ -336,9 +333,6 @@
 			now := time.Now()
 			g.tick(now)
 			g.recordUsage(ctx, now)
-			if g.partsUnsaved.Swap(false) {
-				g.partsSaved = -1
-			}
 			g.saveParts(ctx, now)
 		}
 	}
@@ -363,7 +357,7 @@
 	if g.mirrors[Endpoints].Expire(now) {
 		g.activate(now, Endpoints, "expiry")
 	}
-	if !g.partsInForce && g.partsKnown.Load() {
+	if !g.partsInForce && g.parts.known.Load() {
 		g.partsInForce = true
 		g.publishConfig()
 		g.declareReady()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,22 +23,40 @@
 	partsInterval = time.Second
 	// partsPatience is how long an instance that starts waits for the quarantined parts before it serves requests.
 	partsPatience = time.Second
-	// trialTimeout is the time limit for reserving a trial.
-	trialTimeout = 500 * time.Millisecond
+	// trialTimeout is the time limit for reserving a trial, and trialInterval the time between two tries, which call the store.
+	trialTimeout  = 500 * time.Millisecond
+	trialInterval = time.Second
 )
 
+// partsRecord is the state of the record of the quarantined parts in the store.
+type partsRecord struct {
+	known   atomic.Bool // those from before the start of this process are known, or have not been found in time
+	saving  atomic.Bool // it is being written
+	unsaved atomic.Bool // the last write has failed
+
+	reserving atomic.Bool // a trial is being reserved
+	lastTrial time.Time   // when one was last to be reserved; guarded by reserving
+
+	// Only the control goroutine uses the fields below.
+	written     int // Changes of the ledger when it was last written
+	lastAttempt time.Time
+}
+
 // saveParts writes the quarantined parts to the store if they have changed and this instance is the first of those that watch the
 // store.
 func (g *Gateway) saveParts(ctx context.Context, now time.Time) {
-	changes := g.quarantine.Changes()
-	if changes == g.partsSaved || now.Sub(g.lastPartsAttempt) < partsInterval || g.leaving.Load() || g.watcherIndex.Load() != 0 || !g.savingParts.CompareAndSwap(false, true) {
+	r, changes := &g.parts, g.quarantine.Changes()
+	if r.unsaved.Swap(false) {
+		r.written = -1
+	}
+	if changes == r.written || now.Sub(r.lastAttempt) < partsInterval || g.leaving.Load() || g.watcherIndex.Load() != 0 || !r.saving.CompareAndSwap(false, true) {
 		return
 	}
-	g.lastPartsAttempt, g.partsSaved = now, changes
+	r.lastAttempt, r.written = now, changes
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
-		defer g.savingParts.Store(false)
+		defer r.saving.Store(false)
 		err := g.writeParts(ctx)
 		if errors.Is(err, ErrChanged) { // by an instance that has reserved a trial, or that was the first one before
 			if _, err = g.loadParts(ctx); err == nil {
@@ -46,7 +65,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			g.log.Info("parts not recorded", "cause", err.Error())
-			g.partsUnsaved.Store(true)
+			r.unsaved.Store(true)
 		}
 	}()
 }
@@ -77,13 +96,13 @@
 // restoreParts reads the quarantined parts from before the start of this process. Requests are served once they are known, or after
 // partsPatience.
 func (g *Gateway) restoreParts(ctx context.Context) {
-	patience := time.AfterFunc(partsPatience, func() { g.partsKnown.Store(true) })
+	patience := time.AfterFunc(partsPatience, func() { g.parts.known.Store(true) })
 	defer patience.Stop()
 	for wait := minStoreBackoff; ctx.Err() == nil; wait = min(2*wait, maxStoreBackoff) {
 		n, err := g.loadParts(ctx)
 		if err == nil {
 			g.log.Info("parts restored", "parts", n)
-			g.partsKnown.Store(true)
+			g.parts.known.Store(true)
 			return
 		}
 		g.log.Info("parts not restored", "cause", err.Error())
@@ -94,10 +113,14 @@
 // reserveTrial reports whether this instance may send a request in spite of its quarantined parts. The store decides which instance may:
 // of those that write the record at once, one succeeds.
 func (g *Gateway) reserveTrial(ctx context.Context, p *quarantine.Prompt) bool {
-	if !g.quarantine.TrialDue(time.Now(), p) || !g.reservingTrial.CompareAndSwap(false, true) {
+	if !g.quarantine.TrialDue(time.Now(), p) || !g.parts.reserving.CompareAndSwap(false, true) {
+		return false
+	}
+	defer g.parts.reserving.Store(false)
+	if time.Since(g.parts.lastTrial) < trialInterval {
 		return false
 	}
-	defer g.reservingTrial.Store(false)
+	g.parts.lastTrial = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
 	_, err := g.loadParts(ctx)
