--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -22,6 +22,22 @@
 
 // playFaults plays several series of faults at once, which overlap, and returns when all of them have been undone.
 func (w *world) playFaults(length time.Duration, kinds []int) {
+	w.playSeries(length, kinds)
+	w.mu.Lock()
+	clear(w.hostile)
+	w.mu.Unlock()
+	odd := w.random("odd entries")
+	for range 20 {
+		w.addOddEntries(odd)
+	}
+	for n := range w.endpoints {
+		w.links[n].set(linkState{})
+		w.register(n, "ready")
+	}
+}
+
+// playSeries plays several series of faults at once.
+func (w *world) playSeries(length time.Duration, kinds []int) {
 	end := time.Now().Add(length)
 	var series sync.WaitGroup
 	for n := range 5 {
@@ -35,17 +51,6 @@
 		})
 	}
 	series.Wait()
-	w.mu.Lock()
-	clear(w.hostile)
-	w.mu.Unlock()
-	odd := w.random("odd entries")
-	for range 20 {
-		w.addOddEntries(odd)
-	}
-	for n := range w.endpoints {
-		w.links[n].set(linkState{})
-		w.register(n, "ready")
-	}
 }
 
 // between returns a random duration.
@@ -53,10 +58,11 @@
 	return from + time.Duration(r.Int64N(int64(to-from)))
 }
 
-// allFaults and calmFaults are kinds of faults; the latter leave instances and links alone.
+// allFaults, calmFaults and instanceFaults are kinds of faults; the second leave instances and links alone, the last one endpoints.
 var (
-	allFaults  = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 13, 13, 14, 15}
-	calmFaults = []int{10, 12, 13, 13, 13, 14, 15}
+	instanceFaults = []int{0, 0, 1, 2, 2, 3, 4, 5, 6, 7}
+	allFaults      = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 13, 13, 14, 15}
+	calmFaults     = []int{10, 12, 13, 13, 13, 14, 15}
 )
 
 // playFault plays one fault and undoes it.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -182,29 +182,15 @@
 
 // run plays one seed.
 func run(w *world, play func()) {
-	t, g := w.t, NewWithT(w.t)
-	w.store, w.hostile, w.started = fake.NewStore(), make([]float64, endpoints), time.Now()
-	w.first, w.faulty, w.own = map[string]int{}, w.random("responses"), &ownStandstills
-	defer w.store.Close()
-	var err error
-	w.dir, err = os.MkdirTemp("", "soak")
-	g.Expect(err).ToNot(HaveOccurred())
-	defer w.cleanUp()
-	w.configure(longTimeout, longTimeout+timeoutRange)
+	t := w.t
+	defer w.open()()
 	for n := range endpoints {
 		e := fake.NewEndpoint(fmt.Sprint("e", n), func(r *http.Request) fake.Behaviour { return w.behaviour(n, r) })
 		defer e.Close()
 		w.endpoints, w.links = append(w.endpoints, e), append(w.links, openLink(t, e.Address()))
 		w.register(n, "ready")
 	}
-	for n := range *size {
-		i := &instance{w: w, name: fmt.Sprint("instance-", n), ip: fmt.Sprintf("%s.%d.%d", network, w.slot+1, n+1), store: openLink(t, w.store.Address())}
-		w.instances = append(w.instances, i)
-		i.writeSettings()
-		i.start()
-		defer i.close()
-	}
-	g.Eventually(w.allReady, "10s", "20ms").Should(BeTrue())
+	defer w.startInstances()()
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -235,6 +221,36 @@
 	}
 }
 
+// open starts the store of a world with a first configuration, and returns a function that ends it.
+func (w *world) open() (end func()) {
+	w.store, w.hostile, w.started = fake.NewStore(), make([]float64, endpoints), time.Now()
+	w.first, w.faulty, w.own = map[string]int{}, w.random("responses"), &ownStandstills
+	var err error
+	w.dir, err = os.MkdirTemp("", "soak")
+	NewWithT(w.t).Expect(err).ToNot(HaveOccurred())
+	w.configure(longTimeout, longTimeout+timeoutRange)
+	return func() {
+		w.cleanUp()
+		w.store.Close()
+	}
+}
+
+// startInstances starts the instances, waits until they are ready, and returns a function that ends them.
+func (w *world) startInstances() (end func()) {
+	for n := range *size {
+		i := &instance{w: w, name: fmt.Sprint("instance-", n), ip: fmt.Sprintf("%s.%d.%d", network, w.slot+1, n+1), store: openLink(w.t, w.store.Address())}
+		w.instances = append(w.instances, i)
+		i.writeSettings()
+		i.start()
+	}
+	NewWithT(w.t).Eventually(w.allReady, "10s", "20ms").Should(BeTrue())
+	return func() {
+		for _, i := range w.instances {
+			i.close()
+		}
+	}
+}
+
 // report returns what failed and what was done.
 func (w *world) report() string {
 	return fmt.Sprintf("seed %d, began at %s: %s\nFaults:\n%s\nStandstills:\n%s", w.seed, w.started.UTC().Format(time.StampMilli),
