--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -110,7 +110,8 @@
 		e, err := fake.NewEndpointAt(fmt.Sprint("e", n), address, l.behave)
 		g.Expect(err).ToNot(HaveOccurred())
 		defer e.Close()
-		register := func() { w.store.Put("servers", e.ID, e.Entry("s", "ready", w.slots)) }
+		service := []string{"s", "t"}[n/6] // the configuration sends a part of the requests to t
+		register := func() { w.store.Put("servers", e.ID, e.Entry(service, "ready", w.slots)) }
 		register()
 		e.OnStart(register)
 		w.endpoints = append(w.endpoints, e)
