--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD TROUBLE")
 		os.Exit(2)
 	}
-	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"late-beat": lateBeat}
+	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"late-beat": lateBeat, "watchers-restarted": watchersRestarted}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -40,6 +40,7 @@
 // instance is a gateway process.
 type instance struct {
 	name, ip string
+	store    *link
 	cmd      *exec.Cmd
 }
 
@@ -64,27 +65,18 @@
 	fmt.Fprintf(w.record, "%8.3f s  "+format+"\n", append([]any{time.Since(w.start).Seconds()}, args...)...)
 }
 
-// startGateways starts gateways and waits until they are ready.
+// startGateways starts gateways, each with a link of its own to the store, and waits until they are ready.
 func (w *world) startGateways(n int) error {
 	for i := 1; i <= n; i++ {
-		g := &instance{name: fmt.Sprintf("gateway-%d", i), ip: fmt.Sprintf("%s.%d", w.network, i)}
-		w.gateways = append(w.gateways, g)
-		settings := filepath.Join(w.dir, g.name+".toml")
-		if err := os.WriteFile(settings, []byte(fake.Settings(g.name, g.ip, "a", w.store.Address(), 8*time.Second, 50)), 0o600); err != nil {
-			return err
-		}
-		log, err := os.Create(filepath.Join(w.dir, g.name+".log"))
+		k, err := openLink(w.store.Address())
 		if err != nil {
 			return err
 		}
-		g.cmd = exec.Command("target/monsoondale", "gateway")
-		g.cmd.Env = []string{settingsVariable + "=" + settings, "PATH=" + os.Getenv("PATH"), "HOME=" + w.dir}
-		g.cmd.Stdout, g.cmd.Stderr = log, log
-		g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := g.cmd.Start(); err != nil {
+		g := &instance{name: fmt.Sprintf("gateway-%d", i), ip: fmt.Sprintf("%s.%d", w.network, i), store: k}
+		w.gateways = append(w.gateways, g)
+		if err := w.startProcess(g); err != nil {
 			return err
 		}
-		log.Close()
 	}
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		ready := 0
@@ -103,6 +95,30 @@
 	}
 }
 
+// startProcess starts the process of a gateway. Its log is appended to.
+func (w *world) startProcess(g *instance) error {
+	settings := filepath.Join(w.dir, g.name+".toml")
+	if err := os.WriteFile(settings, []byte(fake.Settings(g.name, g.ip, "a", g.store.address(), 8*time.Second, 50)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(w.dir, g.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	g.cmd = exec.Command("target/monsoondale", "gateway")
+	g.cmd.Env = []string{settingsVariable + "=" + settings, "PATH=" + os.Getenv("PATH"), "HOME=" + w.dir}
+	g.cmd.Stdout, g.cmd.Stderr = log, log
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return g.cmd.Start()
+}
+
+// kill ends the process of a gateway, without a chance to prepare for it.
+func (g *instance) kill() {
+	g.cmd.Process.Kill()
+	g.cmd.Wait()
+}
+
 // ready asks a gateway's health check.
 func (g *instance) ready() bool {
 	c := http.Client{Timeout: time.Second}
@@ -164,10 +180,10 @@
 	close(w.stop)
 	w.wg.Wait()
 	for _, g := range w.gateways {
-		if g.cmd.Process != nil {
-			g.cmd.Process.Kill()
-			g.cmd.Wait()
+		if g.cmd != nil && g.cmd.Process != nil {
+			g.kill()
 		}
+		g.store.close()
 	}
 	w.mu.Lock()
 	answered := fmt.Sprint(w.answered)
