--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -12,7 +14,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD TROUBLE")
 		os.Exit(2)
 	}
-	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"late-beat": lateBeat, "watchers-restarted": watchersRestarted}
+	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"watchers-restarted": watchersRestarted}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -23,6 +25,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		w.close()
+		os.Exit(2)
+	}()
 	broken, err := play(w, os.Args[3] != "0")
 	w.close()
 	switch {
