core/fleet, gateway: the store is watched by instances that have shown that they read it

Cause: an instance counted as able to read the store until one of its calls had failed. A process that had just started took a place in the watch over from an instance that read the store, and that one stopped; its first failure came 1.15 s later, or never if it was killed before. Sums between data centres and the choice of the instance that writes records had the same fault.

Evidence: with a line for changes of the watch, front-b-4 gave its place up 20 ms after "starting" of front-a-1, and took it again 5.4 s later, 40 ms after the first "store lost" of front-a-1; no undisturbed instance lost the store meanwhile.

Change: an instance counts as watching while the store answers it, from calls of this process, and says so in its digests. Places are given up to these only; vacant ones are tried by more and more instances without waiting for failures. The first call after taking over asks the store to answer at once; others no longer poll for their turn.

TestWatchRenewalsAreStaggered and the tests of outages set up the watch by its new type; what they check is unchanged.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,10 +32,6 @@
 	maxPromise = 10 * time.Second
 	// stoppedAfter is the time without a message after which an instance no longer counts as running.
 	stoppedAfter = 30 * time.Second
-	// StoreWatchers is the number of instances that watch the store. It is fixed, so that the calls to the store do not
-	// grow with the fleet, and above one because a watch may stall and an instance may lose its connection to the
-	// store.
-	StoreWatchers = 3
 	// minAssumed is the number of instances that is assumed at least until the list of instances is known.
 	minAssumed = 8
 )
@@ -55,7 +51,9 @@
 	// Every is the time in which the next message of the sender is due; 0 if not stated.
 	Every   time.Duration
 	Leaving bool // shutting down
-	Blind   bool // cannot read the store
+	Blind   bool // its last call to the store has failed
+	// Watching reports whether it watches the store for all, and the store answers it.
+	Watching bool
 }
 
 // Summary is what a relay states about the instances of its data centre, itself included.
@@ -68,7 +66,7 @@
 	Running int // instances that may be running
 	// Silent are the listed instances that are not heard.
 	Silent []core.InstanceID
-	// Watchers are the first instances by name that are heard, not leaving and able to read the store.
+	// Watchers are the first instances by name that watch the store, and that the store answers.
 	Watchers []core.InstanceID
 	// Young reports whether an instance has started recently.
 	Young bool
@@ -122,6 +120,8 @@
 	listeningSince         time.Time // when Due was first called, or when this process last resumed after it stood still
 	relaySince             time.Time // when this instance last became a relay
 	lastRelayed            time.Time // when Due last reported a summary
+	watches                bool      // watches the store for all, or tries to
+	vacantSince            time.Time // since when too few others watch the store; zero if enough do
 }
 
 // New returns a Fleet that knows only the instance itself.
@@ -392,51 +392,6 @@
 	return now.UnixMilli()-e.Start < f.o.YoungFor.Milliseconds() || !e.replaced.IsZero() && now.Sub(e.replaced) < f.o.YoungFor
 }
 
-// able returns the first instances by name that are heard, not leaving and able to read the store, this one included if
-// withSelf is set.
-func (f *Fleet) able(now time.Time, withSelf bool, counts func(*member) bool) []core.InstanceID {
-	var names []core.InstanceID
-	if withSelf {
-		names = append(names, f.o.Self.Name)
-	}
-	for name, e := range f.members {
-		if counts(e) && e.heard(now) && !e.Leaving && !e.Blind {
-			names = append(names, name)
-		}
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names[:min(len(names), StoreWatchers)]
-}
-
-// WatcherIndex returns the position of this instance among those that watch the store for all, or -1 if it is not one of
-// them. These are the first instances by name that are heard and can read the store. The first one also records what must
-// outlast all processes.
-func (f *Fleet) WatcherIndex(now time.Time) int {
-	names := map[core.InstanceID]bool{}
-	for _, name := range f.able(now, false, func(*member) bool { return true }) {
-		names[name] = true
-	}
-	if !f.Flat() {
-		for _, c := range f.centres {
-			if s := f.heard(now, c); s != nil {
-				for _, name := range s.Watchers {
-					names[name] = true
-				}
-			}
-		}
-	}
-	preceding := 0
-	for name := range names {
-		if name < f.o.Self.Name {
-			preceding++
-		}
-	}
-	if preceding >= StoreWatchers {
-		return -1
-	}
-	return preceding
-}
-
 // StateTargets returns the instances to which this one sends its state. Silent ones are included, so that one that restarts
 // learns of the others without the store.
 func (f *Fleet) StateTargets() []Member {
@@ -464,10 +419,11 @@
 	return preceding
 }
 
-// Summary returns the summary of this instance's data centre. The caller sets Start, Number and Every.
-func (f *Fleet) Summary(now time.Time, blind, young bool) Summary {
+// Summary returns the summary of this instance's data centre. The caller sets Start, Number and Every; watching and young are
+// the state of this instance.
+func (f *Fleet) Summary(now time.Time, watching, young bool) Summary {
 	own := func(e *member) bool { return e.Centre == f.o.Self.Centre }
-	s := Summary{Relay: f.o.Self, Heard: 1, Running: 1, Young: young || f.anyYoung(now, own), Watchers: f.able(now, !blind, own)}
+	s := Summary{Relay: f.o.Self, Heard: 1, Running: 1, Young: young || f.anyYoung(now, own), Watchers: f.ownClaimants(now, watching)}
 	for _, e := range f.locals {
 		if !own(e) {
 			continue
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -25,6 +25,7 @@
 	start   int64
 	number  int64
 	forward []fleet.Summary
+	watcher watcher
 	down    bool
 	changes int // log lines
 	// messages and bytes sent, and messages received.
@@ -37,6 +38,7 @@
 	state   fleet.State
 	summary *fleet.Summary // of the sender's data centre
 	far     []fleet.Summary
+	rev     core.Revision // of the sender's copy
 }
 
 // network simulates a fleet whose instances exchange messages, each of which takes one tick and may be lost.
@@ -48,6 +50,7 @@
 	byName    map[core.InstanceID]*instance
 	inFlight  map[*instance][]message
 	cut       func(from, to *instance) bool
+	store     store
 }
 
 // newNetwork returns a fleet of n instances in some data centres, all of which know the list.
@@ -79,6 +82,7 @@
 		}
 		for _, e := range w.instances {
 			if !e.down {
+				w.watch(e)
 				w.send(e)
 				if w.now.UnixMilli()%200 == 0 {
 					e.changes += len(e.fleet.Changes(w.now))
@@ -96,6 +100,7 @@
 	if !to.fleet.RecordState(w.now, m.state) {
 		return
 	}
+	to.watcher.heard(w.now, m.rev)
 	for _, s := range m.far {
 		to.fleet.RecordSummary(w.now, s)
 	}
@@ -108,14 +113,14 @@
 
 func (w *network) send(e *instance) {
 	state, summary := e.fleet.Due(w.now)
-	m := message{from: e, state: fleet.State{Member: e.Member, Start: e.start}}
+	m := message{from: e, rev: e.watcher.rev, state: fleet.State{Member: e.Member, Start: e.start, Blind: e.watcher.failing, Watching: e.watcher.proven(w.now)}}
 	if state {
 		m.state.Every, m.far = e.fleet.Interval(), e.forward
 		e.forward = nil
 		w.post(m, e.fleet.StateTargets())
 	}
 	if summary {
-		s := e.fleet.Summary(w.now, false, false)
+		s := e.fleet.Summary(w.now, e.watcher.proven(w.now), false)
 		s.Start, s.Number, s.Every = e.start, e.number+1, e.fleet.SummaryInterval()
 		m.state.Every, m.summary, m.far = s.Every, &s, nil
 		w.post(m, e.fleet.SummaryTargets(w.now, s.Number))
@@ -199,7 +204,7 @@
 			g.Expect(perSecond(mostSent)).To(BeNumerically("<=", 400))
 			watchers := 0
 			for _, e := range w.instances {
-				if e.fleet.WatcherIndex(w.now) >= 0 {
+				if e.watcher.index >= 0 {
 					watchers++
 				}
 			}
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -32,7 +32,7 @@
 func (g *Gateway) updateFleet(now time.Time) {
 	heard, running := g.fleet.Count(now)
 	g.budgets.setInstanceCounts(heard, running)
-	g.watcherIndex.Store(int64(g.fleet.WatcherIndex(now)))
+	g.updateWatch(now)
 	for _, c := range g.fleet.Changes(now) {
 		if c.Instance != "" {
 			g.log.Info("instance heard", "instance", c.Instance, "centre", c.Centre, "silent", !c.Heard, "leaving", c.Leaving, "since", c.Silence.String(), "heard", heard, "all", running)
@@ -42,11 +42,29 @@
 	}
 }
 
+// updateWatch decides whether this instance watches the store.
+func (g *Gateway) updateWatch(now time.Time) {
+	g.watch.setIndex(g.fleet.WatcherIndex(now, g.watch.reads(now)))
+	if g.watch.watches() != g.stated.watches {
+		g.stateWatch(now)
+	}
+}
+
+// watchStatement is what this instance last stated of its watch.
+type watchStatement struct{ watches, proven bool }
+
+// stateWatch logs a change of the watch and tells the others at once.
+func (g *Gateway) stateWatch(now time.Time) {
+	g.stated = watchStatement{g.watch.watches(), g.watch.proven(now)}
+	g.log.Info("store watch", "watches", g.stated.watches, "reads", g.stated.proven, "others", g.fleet.Watchers(now))
+	g.fleet.Hasten()
+}
+
 // sendDigests sends the digest and, from a relay, the summary of the data centre, if they are due.
 func (g *Gateway) sendDigests(now time.Time) {
 	state, summary := g.fleet.Due(now)
 	if state {
-		d := g.newDigest(g.fleet.Interval())
+		d := g.newDigest(now, g.fleet.Interval())
 		for s, p := range g.pools {
 			if !g.uses(s) {
 				continue
@@ -64,7 +82,7 @@
 		g.send(d, g.fleet.StateTargets())
 	}
 	if summary {
-		d := g.newDigest(g.fleet.SummaryInterval())
+		d := g.newDigest(now, g.fleet.SummaryInterval())
 		d.Far = []wire.Summary{g.newSummary(now, &d)}
 		g.send(d, g.fleet.SummaryTargets(now, int64(d.Number)))
 	}
@@ -75,22 +93,22 @@
 func (g *Gateway) uses(s route.Service) bool { return g.table != nil && g.table.Uses(s) }
 
 // newDigest returns a digest without loads and usage.
-func (g *Gateway) newDigest(every time.Duration) wire.Digest {
+func (g *Gateway) newDigest(now time.Time, every time.Duration) wire.Digest {
 	g.digestNumber++
 	return wire.Digest{
 		From: string(g.o.Settings.Name), Address: g.o.Settings.MeshAddress, Centre: string(g.o.Settings.Centre),
 		Start: int(g.start.UnixMilli()), Number: g.digestNumber, Every: int(every.Milliseconds()),
 		Routes: int(g.mirrors[Configurations].LastChange()), Entries: int(g.mirrors[Endpoints].LastChange()),
-		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.unreadableCollections.Load() > 0,
+		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now),
 	}
 }
 
 // newSummary returns the summary of this instance's data centre that goes with a digest.
 func (g *Gateway) newSummary(now time.Time, d *wire.Digest) wire.Summary {
-	s := g.fleet.Summary(now, d.Blind, now.Sub(g.start) < g.o.Settings.QuotaWindow)
+	s := g.fleet.Summary(now, d.Watching, now.Sub(g.start) < g.o.Settings.QuotaWindow)
 	w := wire.Summary{
 		From: d.From, Address: d.Address, Centre: d.Centre, Start: d.Start, Number: d.Number, Every: d.Every,
-		Heard: s.Heard, Running: s.Running, Silent: fromIDs(s.Silent), Watchers: fromIDs(s.Watchers), Young: s.Young,
+		Heard: s.Heard, Running: s.Running, Silent: fromIDs(s.Silent), Watchers: fromIDs(s.Watchers), Watching: fromIDs(s.Watchers), Young: s.Young,
 		Routes: d.Routes, Entries: d.Entries, Members: d.Members,
 	}
 	for name, p := range g.pools {
@@ -162,7 +180,7 @@
 		return
 	}
 	if !g.fleet.RecordState(now, fleet.State{
-		Member: from, Start: int64(d.Start), Number: int64(d.Number), Every: milliseconds(d.Every), Leaving: d.Leaving, Blind: d.Blind,
+		Member: from, Start: int64(d.Start), Number: int64(d.Number), Every: milliseconds(d.Every), Leaving: d.Leaving, Blind: d.Blind, Watching: d.Watching,
 	}) {
 		return
 	}
@@ -196,7 +214,7 @@
 	relay := fleet.Member{Name: core.InstanceID(w.From), Address: w.Address, Centre: core.DataCentre(w.Centre)}
 	fresh, primary := g.fleet.RecordSummary(now, fleet.Summary{
 		Relay: relay, Start: int64(w.Start), Number: int64(w.Number), Every: milliseconds(w.Every), Heard: w.Heard, Running: w.Running,
-		Silent: toIDs(w.Silent), Watchers: toIDs(w.Watchers), Young: w.Young,
+		Silent: toIDs(w.Silent), Watchers: toIDs(w.Watching), Young: w.Young,
 	})
 	if !fresh {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,21 +92,18 @@
 	// recording is set while a record of the usage of workspaces is being written.
 	recording atomic.Bool
 	// quarantine holds the parts of prompts that crash endpoints.
-	quarantine *quarantine.Ledger
-	parts      partsRecord
-	updates    chan update
-	digests    chan wire.Digest
-	// watcherIndex is the position of this instance among those that watch the store, or -1; unreadableCollections is
-	// the number of collections that it cannot read there.
-	watcherIndex          atomic.Int64
-	unreadableCollections atomic.Int64
-	revisions             [collectionCount]atomic.Int64 // revisions of the mirrors
-	cancel                context.CancelFunc
-	wg                    sync.WaitGroup
-	servers               []*http.Server
-	callers               *peerconn.Listener
-	callersServed         chan struct{} // closed when no more connections of callers are accepted
-	stopOnce              sync.Once
+	quarantine    *quarantine.Ledger
+	parts         partsRecord
+	updates       chan update
+	digests       chan wire.Digest
+	watch         *watchState
+	revisions     [collectionCount]atomic.Int64 // revisions of the mirrors
+	cancel        context.CancelFunc
+	wg            sync.WaitGroup
+	servers       []*http.Server
+	callers       *peerconn.Listener
+	callersServed chan struct{} // closed when no more connections of callers are accepted
+	stopOnce      sync.Once
 
 	// Only the control goroutine uses the fields below.
 	mirrors           [collectionCount]*mirror.Mirror
@@ -120,6 +117,7 @@
 	unidentified      [collectionCount]skipped   // entries of the last list of which it is not known which object they are
 	behindSince       [collectionCount]time.Time // since when another instance has a newer revision; zero if none has
 	fetches           [collectionCount]fetches   // of copies from other instances, in progress
+	stated            watchStatement
 	digestNumber      int
 	lastTick          time.Time
 	lastRecordAttempt time.Time
@@ -135,7 +133,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	g := &Gateway{
 		o: o, log: o.Log, start: time.Now().Truncate(time.Millisecond),
-		metrics: metrics.NewRegistry(),
+		metrics: metrics.NewRegistry(), watch: newWatchState(),
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
 		pools:     map[route.Service]*pool.Pool{},
 		addresses: map[string]*net.UDPAddr{},
@@ -186,7 +184,7 @@
 		g.controlLoop(ctx)
 	}()
 	for c := range collectionCount {
-		w := &storeWatcher{collection: c, store: o.Store, log: g.log, updates: g.updates, watcherIndex: &g.watcherIndex, unreadableCollections: &g.unreadableCollections, mirrorRevision: &g.revisions[c], contact: calls}
+		w := &storeWatcher{collection: c, store: o.Store, log: g.log, updates: g.updates, watch: g.watch, mirrorRevision: &g.revisions[c], contact: calls}
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
@@ -346,6 +344,7 @@
 			g.log.Info("control loop late", "gap", gap.String())
 			// Digests from before the stall are out of date, even if the monotonic clock did not advance.
 			g.fleet.Resume(now)
+			g.watch.resume()
 		}
 	}
 	g.lastTick, g.lastWallTime = now, now.Round(0)
@@ -369,6 +368,9 @@
 		g.fleetUpdated = now
 		g.updateFleet(now)
 	}
+	if g.watch.proven(now) != g.stated.proven {
+		g.stateWatch(now)
+	}
 	g.sendDigests(now)
 }
 
@@ -409,7 +411,7 @@
 		g.behindSince[c] = now
 	}
 	// An instance that watches the store receives the change from there, unless its watch has stalled.
-	if g.watcherIndex.Load() >= 0 && g.mirrors[c].Synced() && now.Sub(g.behindSince[c]) < fetchDelay+batchPause[c]*2 {
+	if g.watch.proven(now) && g.mirrors[c].Synced() && now.Sub(g.behindSince[c]) < fetchDelay+batchPause[c]*2 {
 		return
 	}
 	if !g.fetches[c].start(now, m.Name) {
--- a/gateway/incomplete_test.go
+++ b/gateway/incomplete_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +40,7 @@
 	m := mirror.New(mirror.Options{})
 	updates := make(chan update, 1)
 	s := &scriptedStore{}
-	w := &storeWatcher{collection: Instances, store: s, updates: updates, watcherIndex: new(atomic.Int64)}
+	w := &storeWatcher{collection: Instances, store: s, updates: updates, watch: new(watchState)}
 	item := func(name string, rev core.Revision) []mirror.Item {
 		return []mirror.Item{{Name: name, Revision: rev}}
 	}
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -68,13 +68,13 @@
 func follow(ctx context.Context, store Store, updates chan<- update) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	calls, index, unreadable := new(contact), new(atomic.Int64), new(atomic.Int64)
+	calls, watch := new(contact), new(watchState)
 	for c := range collectionCount {
 		to := updates
 		if c != Endpoints {
 			to = make(chan update, 1000)
 		}
-		w := &storeWatcher{collection: c, store: observedStore{store, calls}, log: logr.Discard(), updates: to, watcherIndex: index, unreadableCollections: unreadable, mirrorRevision: new(atomic.Int64), contact: calls}
+		w := &storeWatcher{collection: c, store: observedStore{store, calls}, log: logr.Discard(), updates: to, watch: watch, mirrorRevision: new(atomic.Int64), contact: calls}
 		wg.Go(func() { w.run(ctx) })
 	}
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -49,7 +49,7 @@
 	if r.unsaved.Swap(false) {
 		r.written = -1
 	}
-	if changes == r.written || now.Sub(r.lastAttempt) < partsInterval || g.leaving.Load() || g.watcherIndex.Load() != 0 || !r.saving.CompareAndSwap(false, true) {
+	if changes == r.written || now.Sub(r.lastAttempt) < partsInterval || g.leaving.Load() || !g.watch.first(now) || !r.saving.CompareAndSwap(false, true) {
 		return
 	}
 	r.lastAttempt, r.written = now, changes
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -28,7 +28,7 @@
 	if now.Sub(g.lastRecordAttempt) < recordInterval || g.recording.Load() || g.leaving.Load() || g.table == nil || !g.table.RequiresKey() {
 		return
 	}
-	if g.watcherIndex.Load() != 0 {
+	if !g.watch.first(now) {
 		return
 	}
 	g.lastRecordAttempt = now
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -17,17 +17,11 @@
 )
 
 const (
-	// watchPeriod is the time after which a watch is renewed, because it may have stalled. The watching instances renew
-	// theirs at staggered times, one in each third of the period, and that instance passes changes on to all others: a
-	// change must be in force within two seconds.
-	watchPeriod = fleet.StoreWatchers * 400 * time.Millisecond
 	// instanceWatchDuration is the duration of a watch of the list of instances, which also learn of each other from
 	// digests.
 	instanceWatchDuration = 10 * time.Second
 	// startDelay is how long a watcher waits after its start for another instance's copy before it calls the store.
 	startDelay = 150 * time.Millisecond
-	// idlePoll is how often an instance that does not watch the store checks whether it has to.
-	idlePoll = 100 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff bound the pause after a failed call to the store.
 	minStoreBackoff = 60 * time.Millisecond
 	maxStoreBackoff = 700 * time.Millisecond
@@ -44,6 +38,9 @@
 // limited, and heartbeats of endpoints may cause many changes.
 var batchPause = []time.Duration{Configurations: 0, Endpoints: 200 * time.Millisecond, Instances: 200 * time.Millisecond}
 
+// maxPause returns the longest pause between two watches of a collection.
+func maxPause(c Collection) time.Duration { return batchPause[c] * 3 / 2 }
+
 // update holds changes of a collection, from the store or another instance.
 type update struct {
 	collection  Collection
@@ -70,14 +67,13 @@
 
 // storeWatcher follows a collection in the store.
 type storeWatcher struct {
-	collection            Collection
-	store                 Store
-	log                   logr.Logger
-	updates               chan<- update
-	watcherIndex          *atomic.Int64 // position of this instance among those that watch the store, or -1
-	unreadableCollections *atomic.Int64 // number of collections that this instance cannot read from the store
-	mirrorRevision        *atomic.Int64 // revision of the mirror, also from copies of other instances; 0 before the first list
-	contact               *contact      // of all calls to the store
+	collection     Collection
+	store          Store
+	log            logr.Logger
+	updates        chan<- update
+	watch          *watchState
+	mirrorRevision *atomic.Int64 // revision of the mirror, also from copies of other instances; 0 before the first list
+	contact        *contact      // of all calls to the store
 
 	rev         core.Revision
 	sent        core.Revision // of the last update; there were no changes from there to rev
@@ -98,8 +94,8 @@
 		if rev := core.Revision(w.mirrorRevision.Load()); rev > w.rev {
 			w.rev, w.sent, w.hasBaseline = rev, rev, true
 		}
-		if w.hasBaseline && w.outageStart.IsZero() && w.watcherIndex.Load() < 0 {
-			sleep(ctx, idlePoll)
+		if w.hasBaseline && w.outageStart.IsZero() && !w.watch.watches() {
+			w.watch.await(ctx, w.collection)
 			continue
 		}
 		err := w.fetch(ctx)
@@ -113,7 +109,7 @@
 			w.failures++
 			if w.outageStart.IsZero() {
 				w.outageStart, w.failures = time.Now(), 1
-				w.unreadableCollections.Add(1)
+				w.watch.unreadable.Add(1)
 				w.log.Info("store lost", "collection", w.collection.String(), "revision", w.rev, "cause", shorten(err.Error(), maxLoggedCause))
 			}
 			// After an error, endpoints are listed again. Other collections are watched again from the last revision.
@@ -125,11 +121,11 @@
 				now := time.Now()
 				w.log.Info("store regained", "collection", w.collection.String(), "revision", w.rev, "away", now.Sub(w.outageStart).String())
 				w.outageStart = time.Time{}
-				w.unreadableCollections.Add(-1)
+				w.watch.unreadable.Add(-1)
 			}
 			if d := batchPause[w.collection]; d > 0 {
 				// The random part spreads the calls of the instances over time.
-				sleep(ctx, d/2+rand.N(d))
+				sleep(ctx, maxPause(w.collection)-rand.N(d))
 			}
 		}
 	}
@@ -141,6 +137,7 @@
 	u, wait, err := w.read(ctx)
 	now := time.Now()
 	if err != nil {
+		w.watch.failed(w.collection)
 		if w.outageStart.IsZero() {
 			w.silentSince = now
 			if now.Sub(start) > wait { // the answer was due before the call failed
@@ -149,6 +146,7 @@
 		}
 		return err
 	}
+	w.watch.answered(w.collection, maxPause(w.collection))
 	if !w.outageStart.IsZero() && w.wasAway(now) {
 		w.outageEnd = now
 	}
@@ -177,6 +175,7 @@
 	u = update{collection: w.collection, source: "store", part: true}
 	if w.hasBaseline {
 		wait = w.watchDuration(time.Now())
+		w.watch.called(w.collection, wait)
 		u.items, u.rev, err = w.store.Watch(ctx, w.collection, w.rev, wait)
 		u.since, u.part = w.sent, !allIdentified(u.items)
 		if err != nil || !w.mustList(u.items) {
@@ -184,6 +183,7 @@
 		}
 	}
 	changes, changedTo := u.items, u.rev
+	w.watch.called(w.collection, 0)
 	u.items, u.rev, err = w.store.List(ctx, w.collection)
 	u.complete, u.list = err == nil, true
 	cause := ""
@@ -212,19 +212,12 @@
 	return !slices.ContainsFunc(changes, func(it mirror.Item) bool { return !it.Identified() })
 }
 
-// watchDuration returns the duration of the next watch: until the next renewal time of this instance that is at least
-// half a watchPeriod away. Renewal times are multiples of watchPeriod since the Unix epoch, plus an offset that depends
-// on watcherIndex. The list of instances is watched for instanceWatchDuration.
+// watchDuration returns the duration of the next watch. The list of instances is watched for instanceWatchDuration.
 func (w *storeWatcher) watchDuration(now time.Time) time.Duration {
 	if w.collection == Instances {
 		return instanceWatchDuration
 	}
-	offset := watchPeriod / fleet.StoreWatchers * time.Duration(max(w.watcherIndex.Load(), 0))
-	d := offset - time.Duration(now.UnixNano())%watchPeriod
-	for d < watchPeriod/2 {
-		d += watchPeriod
-	}
-	return d
+	return fleet.WatchDuration(now, int(w.watch.index.Load()), w.watch.claimed(now, w.collection))
 }
 
 // sleep waits for d or until ctx ends.
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,9 +16,10 @@
 	begin := time.Unix(1_700_000_000, 0)
 	var ends []time.Duration
 	for index := range fleet.StoreWatchers { // instances with different start times
-		n := new(atomic.Int64)
-		n.Store(int64(index))
-		w := &storeWatcher{collection: Endpoints, watcherIndex: n}
+		s := new(watchState)
+		s.setIndex(index)
+		w := &storeWatcher{collection: Endpoints, watch: s}
+		s.claims[Endpoints].Answer(begin, time.Hour)
 		for now := begin.Add(time.Duration(index) * 137 * time.Millisecond); now.Before(begin.Add(20 * time.Second)); {
 			now = now.Add(w.watchDuration(now))
 			ends = append(ends, now.Sub(begin))
@@ -28,8 +28,8 @@
 	for at := 3 * time.Second; at < 18*time.Second; at += 10 * time.Millisecond {
 		found := false
 		for _, e := range ends {
-			found = found || e >= at && e < at+watchPeriod/fleet.StoreWatchers
+			found = found || e >= at && e < at+fleet.WatchPeriod/fleet.StoreWatchers
 		}
-		g.Expect(found).To(BeTrue(), "no watch is renewed within %v after %v", watchPeriod/fleet.StoreWatchers, at)
+		g.Expect(found).To(BeTrue(), "no watch is renewed within %v after %v", fleet.WatchPeriod/fleet.StoreWatchers, at)
 	}
 }
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -45,9 +45,10 @@
 // Digest is the state of an instance. Start is the time at which its process
 // started, in Unix milliseconds; Number counts its digests. Routes, Entries and
 // Members are the revisions of its configuration, its list of endpoints and its
-// list of instances. Blind tells that the store does not answer it. Used is the
-// units that the sender has used for each workspace since its start; Total is
-// those of all instances in the last window, as far as it knows. Centre is the
+// list of instances. Blind tells that its last call to the store has failed,
+// Watching that it watches the store for all and that the store answers it. Used
+// is the units that the sender has used for each workspace since its start; Total
+// is those of all instances in the last window, as far as it knows. Centre is the
 // sender's data centre; Every is the number of milliseconds until its next digest.
 // Far are the summaries of other data centres that the sender has received since
 // the last digest. A digest with a summary of the sender's own data centre is for
@@ -104,6 +105,9 @@
 
 	// Used corresponds to the JSON schema field "used".
 	Used DigestUsed `json:"used,omitempty,omitzero"`
+
+	// Watching corresponds to the JSON schema field "watching".
+	Watching bool `json:"watching,omitempty,omitzero"`
 }
 
 type DigestTotal map[string]float64
@@ -240,10 +244,12 @@
 
 // Summary is the state of a data centre, as the instance From sums it up. Heard
 // and Running count its instances that are heard and that may be running; Silent
-// are those that are listed but not heard. Watchers are the first that can read
-// the store. Young tells that one has started recently. Pools, Used and Total are
-// as in a digest, for the whole data centre; Age is the mean age of the loads in
-// milliseconds. Crashes and Parts are as in a digest.
+// are those that are listed but not heard. Watching are the first that watch the
+// store and that it answers; Watchers has the same names for instances of the
+// version that took instances which had not read the store for able to. Young
+// tells that one has started recently. Pools, Used and Total are as in a digest,
+// for the whole data centre; Age is the mean age of the loads in milliseconds.
+// Crashes and Parts are as in a digest.
 type Summary struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -302,6 +308,9 @@
 	// Watchers corresponds to the JSON schema field "watchers".
 	Watchers []string `json:"watchers,omitempty,omitzero"`
 
+	// Watching corresponds to the JSON schema field "watching".
+	Watching []string `json:"watching,omitempty,omitzero"`
+
 	// Young corresponds to the JSON schema field "young".
 	Young bool `json:"young,omitempty,omitzero"`
 }
