io/proxy: log the proof of each second send, and measure overlaps

"repeat" and "standby ended" now have the proof that the request did not run and how long the endpoint had it, "takeover" the overlap; standby_overlap is the distribution of all overlaps, standby_overlong counts those of 400 ms and more, each with a line.

--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -7,8 +7,10 @@
 import "time"
 
 const (
-	// MaxOverlap is how long two model engines may work on a request. The platform allows 400 ms, and an endpoint learns late
-	// that its request was cancelled.
+	// OverlapBound is how long the platform allows two model engines to work on a request.
+	OverlapBound = 400 * time.Millisecond
+	// MaxOverlap is how long two model engines may work on a request. It is less than OverlapBound, as an endpoint learns late that
+	// its request was cancelled.
 	MaxOverlap = 250 * time.Millisecond
 	// MaxSilence is the longest silence of a sound endpoint.
 	MaxSilence = 2 * time.Second
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,8 +53,9 @@
 	cancel   context.CancelCauseFunc
 	grant    *pool.Grant
 	started  time.Time
-	after    string // id of the event after which a stream continues; empty for a new stream
-	revisit  bool   // the request was sent to this endpoint before
+	sentAt   atomic.Pointer[time.Time] // when the request was sent; nil before
+	after    string                    // id of the event after which a stream continues; empty for a new stream
+	revisit  bool                      // the request was sent to this endpoint before
 	outcome  pool.Outcome
 	resp     *endpoint.Response
 	err      error        // why there is no response
@@ -155,11 +157,21 @@
 				return err
 			}
 			beforeSend()
+			now := time.Now()
+			a.sentAt.Store(&now)
 			return nil
 		},
 	})
 }
 
+// sinceSent returns how long ago the request was sent; 0 if it was not.
+func (a *attempt) sinceSent(now time.Time) time.Duration {
+	if at := a.sentAt.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return 0
+}
+
 // sent reports whether the request may have reached the endpoint.
 func (a *attempt) sent() bool {
 	var unsent *endpoint.NotSentError
@@ -197,6 +209,19 @@
 	return 0, "", false
 }
 
+// notRunProof returns what shows that the endpoint did not run the request; empty if it may have run.
+func (a *attempt) notRunProof() string {
+	switch _, _, notRun := a.outcomeIfNotRun(); {
+	case !notRun:
+		return ""
+	case !a.sent():
+		return "not sent"
+	case a.info.Misdirected:
+		return "misdirected"
+	}
+	return "stated by the endpoint"
+}
+
 // isTimeout reports whether an error is that of an operation which was given up.
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -492,7 +492,7 @@
 		}
 		x.handler.stats.retries.Inc(1)
 		x.handler.o.Log.Info("repeat", "request", x.info.ID, "route", x.route.Name, "endpoint", a.grant.Endpoint.ID, "reason", r.reason,
-			"cause", errorText(x.cause), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
+			"cause", errorText(x.cause), "proof", a.notRunProof(), "took", milliseconds(a.sinceSent(time.Now())), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
 	}
 }
 
--- a/io/proxy/standby.go
+++ b/io/proxy/standby.go
@@ -22,6 +22,7 @@
 	reserved  int64             // bytes of buffers
 	kept      bool              // it had the request when it was opened
 	notRun    bool              // it has ended, and the endpoint did not run the request
+	alone     bool              // it no longer works beside the first endpoint; the overlap has been recorded
 	response  *bufferedResponse // an error, with which the endpoint has responded
 }
 
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -21,6 +21,8 @@
 	queueTime metrics.Timer
 	firstByte metrics.Timer
 	total     metrics.Timer
+	overlap   metrics.Timer   // for which two endpoints worked on a request
+	overlong  metrics.Counter // overlaps of handover.OverlapBound and more
 }
 
 func newStats(r metrics.Registry) stats {
@@ -31,6 +33,8 @@
 		queueTime: metrics.GetOrRegisterTimer("request.wait", r),
 		firstByte: metrics.GetOrRegisterTimer("request.first", r),
 		total:     metrics.GetOrRegisterTimer("request.whole", r),
+		overlap:   metrics.GetOrRegisterTimer("standby.overlap", r),
+		overlong:  metrics.GetOrRegisterCounter("standby.overlong", r),
 	}
 }
 
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -294,6 +294,7 @@
 	switch t.machine.Step(e) {
 	case handover.CancelStandby:
 		b.cancel(errOverlapEnded)
+		a.recordOverlap(b)
 	case handover.CancelFirst:
 		a.handOver(b, false)
 	}
@@ -304,8 +305,25 @@
 func (a *attempt) handOver(b *attempt, responded bool) {
 	x := a.x
 	x.handler.o.Log.Info("takeover", "request", x.info.ID, "endpoint", a.grant.Endpoint.ID, "next", b.grant.Endpoint.ID,
-		"responded", responded, "silence", milliseconds(time.Since(a.takeover.silent)))
+		"responded", responded, "silence", milliseconds(time.Since(a.takeover.silent)), "overlap", milliseconds(b.sinceSent(time.Now())))
 	a.cancel(errNoResponse)
+	a.recordOverlap(b)
+}
+
+// recordOverlap records how long a standby worked beside the first endpoint, when the work of either has ended or is cancelled. The
+// caller holds takeover.mu.
+func (a *attempt) recordOverlap(b *attempt) {
+	d := b.sinceSent(time.Now())
+	if b.standby.alone || d <= 0 || !a.x.overlapLimited() {
+		return
+	}
+	b.standby.alone = true
+	s := &a.x.handler.stats
+	s.overlap.Update(d)
+	if d >= handover.OverlapBound {
+		s.overlong.Inc(1)
+		a.x.handler.o.Log.Info("overlap too long", "request", a.x.info.ID, "endpoint", a.grant.Endpoint.ID, "standby", b.grant.Endpoint.ID, "overlap", milliseconds(d))
+	}
 }
 
 // settle gives the request to a standby that has responded, or ends the standby. It reports whether the standby has the request.
@@ -335,7 +353,9 @@
 		t.full++
 	}
 	b.release(o)
-	x.handler.o.Log.Info("standby ended", "request", x.info.ID, "standby", b.grant.Endpoint.ID, "outcome", o.String(), "cause", errorText(err))
+	a.recordOverlap(b)
+	x.handler.o.Log.Info("standby ended", "request", x.info.ID, "standby", b.grant.Endpoint.ID, "outcome", o.String(), "cause", errorText(err),
+		"proof", b.notRunProof(), "took", milliseconds(b.sinceSent(time.Now())))
 	return false
 }
 
@@ -350,6 +370,7 @@
 		return false
 	case handover.CancelStandby:
 		t.last().cancel(errSuperseded)
+		a.recordOverlap(t.last())
 	}
 	t.timer.stop()
 	return true
@@ -373,6 +394,9 @@
 	t.mu.Lock()
 	t.machine.Step(handover.FirstFailed{})
 	taken := t.machine.Taken()
+	if taken {
+		a.recordOverlap(t.last())
+	}
 	t.mu.Unlock()
 	a.countStandbys(taken)
 	return taken
@@ -388,6 +412,7 @@
 		next = t.last()
 	} else if t.machine.Step(handover.Ended{}) == handover.CancelStandby {
 		t.last().cancel(errSuperseded)
+		a.recordOverlap(t.last())
 	}
 	t.mu.Unlock()
 	a.countStandbys(next != nil)
