io/proxy, core/handover: no overlap of engines at a process that may stand still; cancelled requests reset at once

Reproduced for streams: two engines may work on one for 250 ms by the instance's timer, and a process that stands still for more than 150 ms then ends that late.

Change: the overlap is 400 ms less 50 ms less twice the longest delay of the last 10 to 20 s, 250 ms at most; under 100 ms there is none, and the first endpoint's work ends after 2 s of silence, before another one is asked. The end of a request's context resets its connection at once; before, it only made reads fail, and the reading goroutine reset it later.

TestCandidates states the overlap of each case, which was a constant before; what it expects is unchanged, six cases are new.

--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -9,9 +9,12 @@
 const (
 	// OverlapBound is how long the platform allows two model engines to work on a request.
 	OverlapBound = 400 * time.Millisecond
-	// MaxOverlap is how long two model engines may work on a request. It is less than OverlapBound, as an endpoint learns late that
-	// its request was cancelled.
+	// MaxOverlap is the longest time for which two model engines are let work on a request, and minOverlap the shortest that is of
+	// use.
 	MaxOverlap = 250 * time.Millisecond
+	minOverlap = 100 * time.Millisecond
+	// cancelTime is the time until an endpoint has learned that its request was cancelled.
+	cancelTime = 50 * time.Millisecond
 	// MaxSilence is the longest silence of a sound endpoint.
 	MaxSilence = 2 * time.Second
 )
@@ -44,7 +47,7 @@
 	Proved struct{ Standby Standby }
 	// Failed means that a standby has ended without having responded.
 	Failed struct{ Standby Standby }
-	// OverlapEnded means that a standby has worked for MaxOverlap. Silence is how long the first endpoint has been silent.
+	// OverlapEnded means that a standby may work beside the first endpoint no longer. Silence is how long the first endpoint has been silent.
 	OverlapEnded struct {
 		Standby Standby
 		Silence time.Duration
@@ -156,10 +159,21 @@
 	return Nothing
 }
 
+// Overlap returns for how long two model engines may work on a request; 0 if they may not. lateness is the longest time by which this
+// process was late of late. It may be late again when the overlap is to end, and by more.
+func Overlap(lateness time.Duration) time.Duration {
+	d := OverlapBound - cancelTime - 2*lateness
+	if d < minOverlap {
+		return 0
+	}
+	return min(d, MaxOverlap)
+}
+
 // Candidate describes a standby that could be started.
 type Candidate struct {
 	Latency time.Duration // expected until it responds
-	Limited bool          // it may work beside the first endpoint for MaxOverlap only
+	Limited bool          // it may work beside the first endpoint for Overlap only
+	Overlap time.Duration // if Limited; with 0, the first endpoint's work ends before
 	MayTake bool          // it may get the request at the end of the overlap although it has not responded
 	Tried   bool          // it has not responded within an earlier overlap
 }
@@ -171,10 +185,10 @@
 	if c.Latency >= left {
 		return false
 	}
-	late := UntilLate(silence) <= 0
-	return !c.Limited || late && c.MayTake || !c.Tried && (late || c.Latency < MaxOverlap)
+	late := UntilLate(silence, c.Overlap) <= 0
+	return !c.Limited || late && c.MayTake || !c.Tried && c.Overlap > 0 && (late || c.Latency < c.Overlap)
 }
 
 // UntilLate returns how long the first endpoint, which has been silent for a time, must stay silent until it is no longer sound when the
 // overlap with a standby that then starts has ended; 0 or less if that is so already.
-func UntilLate(silence time.Duration) time.Duration { return MaxSilence - MaxOverlap - silence }
+func UntilLate(silence, overlap time.Duration) time.Duration { return MaxSilence - overlap - silence }
--- a/core/handover/handover_test.go
+++ b/core/handover/handover_test.go
@@ -195,14 +195,20 @@
 		silence, left time.Duration
 		want          bool
 	}{
-		{"quick", Candidate{Latency: 100 * ms, Limited: true}, 1200 * ms, time.Second, true},
-		{"quick, has failed to respond", Candidate{Latency: 100 * ms, Limited: true, Tried: true}, 1200 * ms, time.Second, false},
-		{"too slow for the overlap", Candidate{Latency: 300 * ms, Limited: true}, 1200 * ms, time.Second, false},
-		{"too slow for the overlap, at whose end the first endpoint has failed", Candidate{Latency: 300 * ms, Limited: true, MayTake: true}, 1750 * ms, time.Second, true},
-		{"has failed to respond, and the first endpoint too", Candidate{Latency: 100 * ms, Limited: true, MayTake: true, Tried: true}, 1750 * ms, time.Second, true},
-		{"can't get the request without a response", Candidate{Latency: 300 * ms, Limited: true}, 1750 * ms, time.Second, true},
-		{"can't get the request without a response, has failed to respond", Candidate{Latency: 100 * ms, Limited: true, Tried: true}, 1750 * ms, time.Second, false},
-		{"too slow for the caller", Candidate{Latency: 300 * ms, Limited: true, MayTake: true}, 1750 * ms, 300 * ms, false},
+		{"quick", Candidate{Latency: 100 * ms, Limited: true, Overlap: MaxOverlap}, 1200 * ms, time.Second, true},
+		{"quick, has failed to respond", Candidate{Latency: 100 * ms, Limited: true, Overlap: MaxOverlap, Tried: true}, 1200 * ms, time.Second, false},
+		{"too slow for the overlap", Candidate{Latency: 300 * ms, Limited: true, Overlap: MaxOverlap}, 1200 * ms, time.Second, false},
+		{"too slow for the overlap, at whose end the first endpoint has failed", Candidate{Latency: 300 * ms, Limited: true, Overlap: MaxOverlap, MayTake: true}, 1750 * ms, time.Second, true},
+		{"has failed to respond, and the first endpoint too", Candidate{Latency: 100 * ms, Limited: true, Overlap: MaxOverlap, MayTake: true, Tried: true}, 1750 * ms, time.Second, true},
+		{"can't get the request without a response", Candidate{Latency: 300 * ms, Limited: true, Overlap: MaxOverlap}, 1750 * ms, time.Second, true},
+		{"can't get the request without a response, has failed to respond", Candidate{Latency: 100 * ms, Limited: true, Overlap: MaxOverlap, Tried: true}, 1750 * ms, time.Second, false},
+		{"too slow for the caller", Candidate{Latency: 300 * ms, Limited: true, Overlap: MaxOverlap, MayTake: true}, 1750 * ms, 300 * ms, false},
+		{"quick, in a short overlap", Candidate{Latency: 100 * ms, Limited: true, Overlap: 150 * ms}, 1200 * ms, time.Second, true},
+		{"too slow for a short overlap", Candidate{Latency: 200 * ms, Limited: true, Overlap: 150 * ms}, 1200 * ms, time.Second, false},
+		{"the first endpoint has not failed yet when a short overlap ends", Candidate{Latency: 300 * ms, Limited: true, Overlap: 150 * ms, MayTake: true}, 1800 * ms, time.Second, false},
+		{"no overlap, and the first endpoint may be sound", Candidate{Latency: 100 * ms, Limited: true, MayTake: true}, 1900 * ms, time.Second, false},
+		{"no overlap, and the first endpoint has failed", Candidate{Latency: 100 * ms, Limited: true, MayTake: true}, 2000 * ms, time.Second, true},
+		{"no overlap, can't get the request without a response", Candidate{Latency: 100 * ms, Limited: true}, 2000 * ms, time.Second, false},
 		{"slow, with no limit", Candidate{Latency: 600 * ms}, 700 * ms, time.Second, true},
 		{"too slow for the caller, with no limit", Candidate{Latency: 600 * ms}, 700 * ms, 600 * ms, false},
 	} {
@@ -211,3 +217,19 @@
 		})
 	}
 }
+
+// Guards against an overlap that is longer than the platform allows when the process is as late at its end as it was before, or half as
+// late again.
+func TestOverlap(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct{ lateness, want time.Duration }{
+		{0, MaxOverlap}, {50 * ms, MaxOverlap}, {75 * ms, 200 * ms}, {125 * ms, 100 * ms}, {126 * ms, 0}, {time.Second, 0},
+	} {
+		g := NewWithT(t)
+		d := Overlap(c.lateness)
+		g.Expect(d).To(Equal(c.want), "late by %v", c.lateness)
+		if d > 0 {
+			g.Expect(d + c.lateness*3/2 + cancelTime).To(BeNumerically("<=", OverlapBound))
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"monsoondale/common/lateness"
 	"monsoondale/common/peerconn"
 	"monsoondale/core"
 	"monsoondale/core/fleet"
@@ -97,6 +98,7 @@
 	updates       chan update
 	digests       chan wire.Digest
 	watch         *watchState
+	lateness      *lateness.Meter
 	revisions     [collectionCount]atomic.Int64 // revisions of the mirrors
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup
@@ -133,7 +135,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	g := &Gateway{
 		o: o, log: o.Log, start: time.Now().Truncate(time.Millisecond),
-		metrics: metrics.NewRegistry(), watch: newWatchState(),
+		metrics: metrics.NewRegistry(), watch: newWatchState(), lateness: lateness.New(standstillInterval),
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
 		pools:     map[route.Service]*pool.Pool{},
 		addresses: map[string]*net.UDPAddr{},
@@ -154,7 +156,7 @@
 	g.client = endpoint.New(endpoint.Options{RequestIDHeader: o.RequestIDHeader})
 	g.proxy = proxy.New(proxy.Options{
 		Headers: o.Headers, Client: g.client, Budgets: g.budgets, Config: func() proxy.Config { return *g.config.Load() },
-		Quarantine: g.quarantine, ReserveTrial: g.reserveTrial,
+		Quarantine: g.quarantine, ReserveTrial: g.reserveTrial, Lateness: func() time.Duration { return g.lateness.Longest(time.Now()) },
 		Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
 	})
 	var err error
--- a/gateway/standstill.go
+++ b/gateway/standstill.go
@@ -30,12 +30,14 @@
 	return gap, spent
 }
 
-// watchStandstill logs when the process did not run for minStandstill. It has a goroutine of its own, as the control goroutine may also
+// watchStandstill logs when the process did not run for minStandstill, and measures by how much it is late. It has a goroutine of its own, as the control goroutine may also
 // be late because of its work. A process that was busy has used processor time in the gap.
 func (g *Gateway) watchStandstill(ctx context.Context) {
 	for s := (standstill{}); ctx.Err() == nil; sleep(ctx, standstillInterval) {
 		now := time.Now()
-		if gap, spent := s.check(now, now.Round(0), processorTime()); gap >= minStandstill {
+		gap, spent := s.check(now, now.Round(0), processorTime())
+		g.lateness.Check(now, gap-standstillInterval)
+		if gap >= minStandstill {
 			g.log.Info("process stood still", "gap", gap.String(), "processor", spent.String())
 		}
 	}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -165,7 +165,7 @@
 	conn     *conn
 	address  string
 	written  chan error  // receives the result of sending the request
-	stop     func() bool // detaches the connection from ctx
+	stop     func() bool // detaches the connection from ctx, whose end resets it
 	bodyRead bool
 	closed   bool
 }
@@ -182,7 +182,8 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
-	resp.stop = context.AfterFunc(ctx, func() { cn.SetDeadline(past) })
+	// The goroutine that reads the response may be late, or be writing to a slow caller.
+	resp.stop = context.AfterFunc(ctx, cn.reset)
 	var sent int
 	payload := r.encode()
 	// Small requests fit into the socket buffer. Larger ones are sent while the response is read, because an endpoint may
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -130,6 +130,8 @@
 	// Quarantine and ReserveTrial may be nil.
 	Quarantine   Quarantine
 	ReserveTrial ReserveTrial
+	// Lateness returns the longest time by which the process was late of late; default 0.
+	Lateness func() time.Duration
 	// MaxBuffered limits the bytes that the bodies of all requests and responses occupy at once; 0 for no limit.
 	MaxBuffered int64
 }
@@ -148,6 +150,9 @@
 
 // New returns a Handler.
 func New(o Options) *Handler {
+	if o.Lateness == nil {
+		o.Lateness = func() time.Duration { return 0 }
+	}
 	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
 	h.shutdown.init()
 	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -32,7 +32,7 @@
 	// errSuperseded is the cause of contexts of standbys that are not needed any more.
 	errSuperseded = errors.New("the first endpoint has responded")
 	errPanic      = errors.New("panic of a standby")
-	// errOverlapEnded is the cause of contexts of standbys that were silent for handover.MaxOverlap and did not get the request.
+	// errOverlapEnded is the cause of contexts of standbys that did not respond during the overlap and did not get the request.
 	errOverlapEnded = errors.New("no response during the overlap")
 )
 
@@ -75,7 +75,7 @@
 		timeout = min(timeout, time.Until(p.req.Deadline)/2)
 	}
 	a.watch(p, a.started, timeout, false, func() time.Duration {
-		if d := handover.UntilLate(time.Since(a.started)); d > 0 && a.isBusy() {
+		if d := handover.UntilLate(time.Since(a.started), a.x.overlap()); d > 0 && a.isBusy() {
 			return d // a standby would do its work once more
 		}
 		return a.tryStandby(p)
@@ -166,8 +166,12 @@
 		return takeoverInterval
 	}
 	if x.overlapLimited() {
-		overlap := time.AfterFunc(handover.MaxOverlap, func() { a.endOverlap(b) })
-		defer overlap.Stop()
+		if d := x.overlap(); d > 0 {
+			t := time.AfterFunc(d, func() { a.endOverlap(b) })
+			defer t.Stop()
+		} else {
+			a.endOverlap(b) // the first endpoint's work ends before the standby is asked
+		}
 	}
 	o, err := b.openAndProve(p)
 	if b.resp != nil && !b.mayHaveRun() {
@@ -184,7 +188,7 @@
 func (a *attempt) acquireStandby(now time.Time, req pool.Request) *pool.Grant {
 	t := &a.takeover
 	t.mu.Lock()
-	late := handover.UntilLate(now.Sub(t.silent)) <= 0
+	late := handover.UntilLate(now.Sub(t.silent), a.x.overlap()) <= 0
 	t.mu.Unlock()
 	req.Unstalled = true
 	g := a.x.pool.Acquire(now, req)
@@ -207,7 +211,10 @@
 	return !now.Before(t.searchAt)
 }
 
-// overlapLimited reports whether two endpoints may work on the request for handover.MaxOverlap only. Of plain requests, the first
+// overlap returns for how long two endpoints may work on the request, if that is limited.
+func (x *exchange) overlap() time.Duration { return handover.Overlap(x.handler.o.Lateness()) }
+
+// overlapLimited reports whether two endpoints may work on the request for handover.Overlap only. Of plain requests, the first
 // response of the two counts.
 func (x *exchange) overlapLimited() bool { return x.route.Kind == route.Stream || x.info.TokensStated }
 
@@ -265,7 +272,7 @@
 // mayStart reports whether a standby is of use now. The caller holds takeover.mu.
 func (a *attempt) mayStart(p *standbyPlan, g *pool.Grant, now time.Time) bool {
 	t := &a.takeover
-	c := handover.Candidate{Latency: g.ExpectedLatency, Limited: a.x.overlapLimited(), MayTake: a.mayBeGivenUp()}
+	c := handover.Candidate{Latency: g.ExpectedLatency, Limited: a.x.overlapLimited(), Overlap: a.x.overlap(), MayTake: a.mayBeGivenUp()}
 	c.Tried = slices.ContainsFunc(t.standbys, func(b *attempt) bool {
 		return b.grant.Endpoint.ID == g.Endpoint.ID && b.wasCancelledFor(errOverlapEnded)
 	})
