--- a/common/lateness/lateness.go
+++ b/common/lateness/lateness.go
@@ -1,4 +1,4 @@
-// Package lateness remembers by how much a process was late of late, because it did not run or was busy.
+// Package lateness measures the recent delays of a process, in which it did not run or was busy.
 package lateness
 
 import (
@@ -33,7 +33,7 @@
 	m.latest = max(m.latest, delay)
 }
 
-// Longest returns the longest delay of late. A check that is overdue counts.
+// Longest returns the longest recent delay. A check that is overdue counts.
 func (m *Meter) Longest(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -159,8 +159,8 @@
 	return Nothing
 }
 
-// Overlap returns for how long two model engines may work on a request; 0 if they may not. lateness is the longest time by which this
-// process was late of late. It may be late again when the overlap is to end, and by more.
+// Overlap returns for how long two model engines may work on a request; 0 if they may not. lateness is the longest recent delay of this
+// process, which may be delayed again, and for longer, when the overlap is to end.
 func Overlap(lateness time.Duration) time.Duration {
 	d := OverlapBound - cancelTime - 2*lateness
 	if d < minOverlap {
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -130,7 +130,7 @@
 	// Quarantine and ReserveTrial may be nil.
 	Quarantine   Quarantine
 	ReserveTrial ReserveTrial
-	// Lateness returns the longest time by which the process was late of late; default 0.
+	// Lateness returns the longest recent delay of the process, in which it did not run or was busy; default 0.
 	Lateness func() time.Duration
 	// MaxBuffered limits the bytes that the bodies of all requests and responses occupy at once; 0 for no limit.
 	MaxBuffered int64
