core/quarantine: no quarantine of served parts after the word of an instance that has just started

Callers would see all requests with the parts that a service's requests share refused, until a trial clears them or for as long as requests come.

One that has just started knows of nothing. In the trace, instance 3 starts at 5.65 s, while no endpoint is up; endpoints return, and at 7.30, 7.32 and 7.35 s three crash under a bad part and a few sound requests. It concludes from its own three requests that "top" and "mid" are the cause, 50 ms before the others' reports arrive, and the others follow, though two of them have seen both parts served.

Change: an instance that knows a part to have been served releases it again, if the quarantine was concluded from fewer crashes than a common part needs. The crashes still count, so that a part which has turned bad is found. A release tells the others that the part has been served.

--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -284,6 +284,15 @@
 	s.expectServed(NewWithT(t))
 }
 
+// An instance starts while no endpoint is up, and then sees three crashes. Guards against a quarantine of the parts that all requests
+// share, which the other instances know to have been served.
+func TestRestartBesideTwoBadParts(t *testing.T) {
+	s := simulationOf(0x174236, 4, 5, 0.1, "bad", "bad2")
+	s.chance, s.restarts = 0.0005, 0.002
+	s.run()
+	s.expectServed(NewWithT(t))
+}
+
 // Guards against quarantines of sound parts while endpoints crash for no request's sake.
 func TestFleetWithChanceCrashes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -328,6 +328,54 @@
 	g.Expect(d.ids()).To(Equal("bad"))
 }
 
+// An instance that has just started knows of nothing that has been served, and may take the parts that all requests share for the cause of
+// crashes. Guards against others that follow it although they know better, so that all requests are refused.
+func TestServedPartIsNotQuarantinedByNewInstance(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c := newScene(), newScene(), newScene()
+	a.served("top o0")
+	for i := range minCrashes {
+		b.crash(fmt.Sprint("top o", i))
+	}
+	g.Expect(b.ids()).To(Equal("top"))
+	now := b.now
+	deliver(b.l, c.l, now)
+	g.Expect(c.ids()).To(Equal("top"), "neither knows better")
+	deliver(b.l, a.l, now)
+	g.Expect(a.ids()).To(BeEmpty())
+	deliver(a.l, b.l, now)
+	deliver(a.l, c.l, now)
+	g.Expect(b.ids()).To(BeEmpty())
+	g.Expect(c.ids()).To(BeEmpty())
+	for i := range minCrashes {
+		b.crash(fmt.Sprint("top p", i))
+	}
+	g.Expect(b.ids()).To(BeEmpty(), "it now knows that the part has been served")
+}
+
+// Guards against a part that has turned bad and is never quarantined, as instances that start conclude too early, and others correct them.
+func TestCorrectionKeepsEvidence(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newScene(), newScene()
+	a.served("bad o0")
+	for i := range minCrashes {
+		b.crash(fmt.Sprint("bad o", i))
+	}
+	deliver(b.l, a.l, b.now)
+	g.Expect(a.ids()).To(BeEmpty())
+	a.now, a.n = b.now, b.n
+	for i := range minOthers {
+		a.served(fmt.Sprint("other p", i))
+	}
+	for i := range certainCrashes - minCrashes {
+		g.Expect(a.ids()).To(BeEmpty())
+		a.crash(fmt.Sprint("bad p", i))
+	}
+	g.Expect(a.ids()).To(Equal("bad"))
+	deliver(a.l, b.l, a.now)
+	g.Expect(b.ids()).To(Equal("bad"))
+}
+
 // Guards against a released part that returns with an old message, and against a release that is lost.
 func TestReleaseReachesAll(t *testing.T) {
 	g := NewWithT(t)
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -248,6 +248,9 @@
 		return
 	case e != nil && r.Version == e.Version && r.Quarantined:
 		return
+	case (e == nil || !e.Quarantined) && r.Quarantined && r.Crashes < certainCrashes && l.served.Contains(r.Part):
+		l.reject(now, r)
+		return
 	}
 	if e == nil {
 		e = l.entry(now, r.Part)
@@ -255,6 +258,7 @@
 	trials, quarantined := e.Trials, e.Quarantined
 	if !r.Quarantined {
 		l.clear(r.Part)
+		l.served.Add(r.Part, struct{}{})
 		e.fewest = 0
 	}
 	e.Entry, e.asked, e.changed, e.told = *r, now.Add(-r.Idle), now, told{tells, tells}
@@ -274,3 +278,11 @@
 		l.log.Info("part released", "service", e.Service, "model", e.Model, "part", e.ID, "reason", "another instance", "version", e.Version)
 	}
 }
+
+// reject releases a part that another instance has quarantined without knowing that it has been served. Unlike after other releases,
+// the crashes so far still count, as the part may have turned bad since.
+func (l *Ledger) reject(now time.Time, r *Entry) {
+	l.update(now, l.entry(now, r.Part))
+	l.urgent = true
+	l.log.Info("part released", "service", r.Service, "model", r.Model, "part", r.ID, "reason", "served before", "crashes", r.Crashes, "version", l.clock)
+}
