--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -114,7 +114,8 @@
 	// servedRequests is the number of requests with parts that this instance has served.
 	servedRequests map[route.Service]int
 	clock          int64 // highest version of an entry
-	changes        int   // number of changes of quarantined parts and their trials
+	changes        int   // number of changes of the result of Record
+	conclusions    int   // number of those that concern quarantined parts and their trials
 	urgent         bool  // there is something that the others should learn at once
 	rotate         int   // makes successive reports tell all quarantined parts in turn
 	sampled        int   // makes successive crashes sample all parts of long prompts in turn
@@ -212,7 +213,7 @@
 	e := l.entry(now, part)
 	if e.Quarantined {
 		l.log.Info("part released", "service", part.Service, "model", part.Model, "part", part.ID, "reason", reason, "version", l.clock+1)
-		l.changes++
+		l.conclude()
 		l.urgent = true
 	}
 	l.clear(part)
@@ -243,13 +244,19 @@
 	e.Quarantined, e.Crashes, e.Requests, e.Trials, e.fewest = true, n.crashes, len(n.requests), 0, 0
 	e.asked, e.nextTrial = now, now.Add(trialDelays[0])
 	l.update(now, e)
-	l.changes++
+	l.conclude()
 	l.urgent = true
 	l.log.Info("part quarantined", "service", part.Service, "model", part.Model, "part", part.ID, "crashes", e.Crashes, "requests", e.Requests,
 		"served", n.served, "version", e.Version, "from", "crashes")
 	l.prune()
 }
 
+// conclude counts a change of quarantined parts or their trials.
+func (l *Ledger) conclude() {
+	l.changes++
+	l.conclusions++
+}
+
 // prune removes the entries beyond the bounds: of the quarantined ones, those for which no request has come for longest.
 func (l *Ledger) prune() {
 	remove := func(bound int, counts func(e *entry) bool, last func(e *entry) time.Time) {
@@ -282,7 +289,7 @@
 		switch {
 		case e.Quarantined && now.Sub(e.asked) > forgetAfter:
 			l.log.Info("part released", "service", part.Service, "model", part.Model, "part", part.ID, "reason", "no requests", "version", e.Version)
-			l.changes++
+			l.conclude()
 			delete(l.entries, part)
 		case !e.Quarantined && now.Sub(e.changed) > forgetAfter:
 			delete(l.entries, part)
@@ -313,7 +320,7 @@
 		e.Trials++
 		e.scheduleTrial(now)
 		l.update(now, e)
-		l.changes++
+		l.conclude()
 		l.log.Info("trial of part", "service", e.Service, "model", e.Model, "part", e.ID, "trials", e.Trials)
 	}
 }
@@ -342,13 +349,6 @@
 	return out
 }
 
-// Changes returns a number that grows whenever the result of Record changes in more than Idle.
-func (l *Ledger) Changes() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.changes
-}
-
 // Size returns the numbers of quarantined parts and of crashes that count.
 func (l *Ledger) Size() (quarantined, crashes int) {
 	l.mu.Lock()
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -125,48 +125,6 @@
 	return out
 }
 
-// Record returns all that an instance which starts should know, as far as it fits into maxReportBytes.
-func (l *Ledger) Record(now time.Time) Report {
-	r := Report{Entries: l.Entries(now)}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	size := 0
-	for _, c := range slices.Backward(l.crashes) {
-		out := Crash{Process: c.Process, Ordinal: c.ordinal}
-		for _, p := range c.prompts() {
-			if n := promptBytes(&p); size+n <= maxReportBytes {
-				size += n
-				out.Prompts = append(out.Prompts, l.crashPrompt(p))
-			}
-		}
-		if len(out.Prompts) > 0 {
-			r.Crashes = append(r.Crashes, out)
-		}
-	}
-	return r
-}
-
-// prompts returns the prompts of the requests under a crash without the parts that have been cleared.
-func (c *crash) prompts() []Prompt {
-	type request struct {
-		Scope
-		own core.PartID
-	}
-	shared := map[request][]core.PartID{}
-	for part, v := range c.parts {
-		for _, own := range v.requests {
-			if r := (request{part.Scope, own}); !v.cleared {
-				shared[r] = append(shared[r], part.ID)
-			}
-		}
-	}
-	var out []Prompt
-	for r, ids := range shared {
-		out = append(out, Prompt{Scope: r.Scope, Shared: ids, Own: r.own})
-	}
-	return out
-}
-
 // crashPrompt returns a prompt as it is reported.
 func (l *Ledger) crashPrompt(p Prompt) CrashPrompt {
 	return CrashPrompt{p, lo.Filter(p.Shared, func(id core.PartID, _ int) bool { return l.served.Contains(p.part(id)) })}
@@ -269,7 +227,7 @@
 		e.scheduleTrial(now)
 	}
 	if e.Quarantined != quarantined || e.Trials != trials {
-		l.changes++
+		l.conclude()
 	}
 	switch {
 	case e.Quarantined && !quarantined:
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -19,8 +19,6 @@
 const (
 	// partsObjectName is the name of the object that holds the quarantined parts.
 	partsObjectName = "parts"
-	// partsInterval is the shortest time between two writes of it.
-	partsInterval = time.Second
 	// partsPatience is how long an instance that starts waits for the quarantined parts before it serves requests.
 	partsPatience = time.Second
 	// trialTimeout is the time limit for reserving a trial, and trialInterval the time between two tries, which call the store.
@@ -37,22 +35,20 @@
 	reserving atomic.Bool // a trial is being reserved
 	lastTrial time.Time   // when one was last to be reserved; guarded by reserving
 
-	// Only the control goroutine uses the fields below.
-	written     int // Changes of the ledger when it was last written
-	lastAttempt time.Time
+	recorder quarantine.Recorder // used by the control goroutine only
 }
 
 // saveParts writes the quarantined parts to the store if they have changed and this instance is the first of those that watch the
 // store.
 func (g *Gateway) saveParts(ctx context.Context, now time.Time) {
-	r, changes := &g.parts, g.quarantine.Changes()
+	r := &g.parts
 	if r.unsaved.Swap(false) {
-		r.written = -1
+		r.recorder.Failed()
 	}
-	if changes == r.written || now.Sub(r.lastAttempt) < partsInterval || g.leaving.Load() || !g.watch.first(now) || !r.saving.CompareAndSwap(false, true) {
+	if r.saving.Load() || !g.watch.first(now) || !r.recorder.Due(now, g.quarantine) {
 		return
 	}
-	r.lastAttempt, r.written = now, changes
+	r.saving.Store(true)
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
