test/soak: writes of settings do not delay signals; a stop begins when SIGTERM is sent

The instance's log has "stopping" at 6.449 s, and it cut the stream at the end of its grace period, 5.4 s after that. At 44.29 and 45.29 s of that minute it read settings of which the soak had written nothing yet: the disk stood still for a second. The soak held the instance's lock while it wrote them, waited for that lock before it sent SIGTERM, and had noted the time of the stop before.

Settings have a lock of their own now, and the stop is noted after the wait. What is checked is unchanged.

--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -35,9 +35,11 @@
 	// are known when the seed has been played.
 	standstills periods
 
+	writing    sync.Mutex // held while the settings are written: a disk may take long, and must not delay signals
+	retryExtra int        // in the settings; each change of these has another value
+
 	mu         sync.Mutex
 	overruns   []period      // from SIGTERM to the end of the grace period, if the process still ran then and had not been paused or killed
-	retryExtra int           // in the settings; each change of these has another value
 	process    *process      // the current one
 	startDelay time.Duration // between the end of a process and the start of the next one
 	closed     bool          // no more processes are started
@@ -62,8 +64,8 @@
 func (i *instance) logPath() string      { return filepath.Join(i.w.dir, i.name+".log") }
 
 func (i *instance) writeSettings() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+	i.writing.Lock()
+	defer i.writing.Unlock()
 	i.retryExtra++
 	text := fake.Settings(i.name, i.ip, "a", i.store.address(), i.w.grace, 50+i.retryExtra)
 	if err := os.WriteFile(i.settingsPath(), []byte(text), 0o600); err != nil {
@@ -166,8 +168,8 @@
 
 // stop ends the process with SIGTERM, as the platform does.
 func (i *instance) stop() {
+	grace, p := i.w.grace, i.current() // may wait until a process has been started
 	defer i.stops.begin()()
-	grace, p := i.w.grace, i.current()
 	terminated := time.Now()
 	p.signal(syscall.SIGTERM)
 	select {
