--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -376,6 +376,35 @@
 	g.Expect(b.ids()).To(Equal("bad"))
 }
 
+// Guards against a conclusion that is not recorded before all instances end, and against a write for each of many crashes.
+func TestRecorder(t *testing.T) {
+	g := NewWithT(t)
+	s, r := newScene(), Recorder{}
+	due := func(after time.Duration) bool {
+		s.now = s.now.Add(after)
+		return r.Due(s.now, s.l)
+	}
+	crash := func(i int) {
+		s.l.RecordCrash(s.now, Process{Service: "s", Endpoint: core.EndpointID(fmt.Sprint("e", i))}, prompt(fmt.Sprint("bad o", i)))
+	}
+	g.Expect(due(time.Minute)).To(BeFalse(), "nothing to record")
+	crash(1)
+	g.Expect(due(0)).To(BeTrue(), "the first crash")
+	g.Expect(due(time.Minute)).To(BeFalse(), "nothing new")
+	crash(2)
+	g.Expect(due(0)).To(BeTrue())
+	crash(3) // the third one leads to a quarantine
+	g.Expect(s.ids()).To(Equal("bad"))
+	g.Expect(due(conclusionInterval / 2)).To(BeFalse())
+	g.Expect(due(conclusionInterval/2)).To(BeTrue(), "a conclusion")
+	crash(4)
+	g.Expect(due(crashInterval/2)).To(BeFalse(), "a crash alone")
+	g.Expect(due(crashInterval / 2)).To(BeTrue())
+	r.Failed()
+	g.Expect(due(crashInterval / 2)).To(BeFalse())
+	g.Expect(due(crashInterval/2)).To(BeTrue(), "the write has failed")
+}
+
 // Guards against a released part that returns with an old message, and against a release that is lost.
 func TestReleaseReachesAll(t *testing.T) {
 	g := NewWithT(t)
