--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -14,6 +14,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -97,8 +98,20 @@
 	// OnHeader is called with the header of each final response that arrives on the connection while this request waits for
 	// its own. matched is false for a response to another request. May be nil.
 	OnHeader func(r *http.Response, matched bool)
+	// Trace, if it is not nil, is filled in while the request is sent.
+	Trace *Trace
 }
 
+// Trace tells on which connection a request was sent. It is zero if there was none.
+type Trace struct {
+	Conn    uint64 // number of the connection, unique within the process
+	Carried int    // number of requests that were sent on the connection before
+	Extra   int    // number of responses to other requests that arrived while this one waited
+}
+
+// connections is the number of connections that all clients have opened.
+var connections atomic.Uint64
+
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	o    Options
@@ -108,6 +121,8 @@
 
 type conn struct {
 	net.Conn
+	number    uint64
+	carried   int           // number of requests that were sent
 	r         *bufio.Reader // reads from Conn through headerLimiter
 	limiter   *headerLimiter
 	expires   time.Time // when the connection must no longer be used
@@ -181,6 +196,11 @@
 		cn.Close()
 		return nil, &NotSentError{Cause: err}
 	}
+	if r.Trace == nil {
+		r.Trace = &Trace{}
+	}
+	r.Trace.Conn, r.Trace.Carried = cn.number, cn.carried
+	cn.carried++
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
 	resp.stop = context.AfterFunc(ctx, cn.reset)
@@ -219,6 +239,7 @@
 			r.OnHeader(hr, matched)
 		}
 		if !matched {
+			r.Trace.Extra++
 			n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, maxSkippedBytes))
 			if err == nil && n == maxSkippedBytes {
 				err = ErrMismatchedResponse
@@ -313,7 +334,7 @@
 		return nil, false, errors.WithStack(err)
 	}
 	l := &headerLimiter{conn: n}
-	return &conn{Conn: n, r: bufio.NewReaderSize(l, readBufferBytes), limiter: l}, false, nil
+	return &conn{Conn: n, number: connections.Add(1), r: bufio.NewReaderSize(l, readBufferBytes), limiter: l}, false, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to an address, or nil if there is no suitable one.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -57,6 +57,7 @@
 	after    string                    // id of the event after which a stream continues; empty for a new stream
 	revisit  bool                      // the request was sent to this endpoint before
 	outcome  pool.Outcome
+	trace    endpoint.Trace
 	resp     *endpoint.Response
 	err      error        // why there is no response
 	info     ResponseInfo // of resp
@@ -146,6 +147,7 @@
 		NonIdempotent: !x.route.Retryable(),
 		NewConnection: a.revisit,
 		OnHeader:      a.recordNotice,
+		Trace:         &a.trace,
 		BeforeSend: func() error {
 			if x.callerLeft() {
 				return peerconn.ErrClosed
@@ -249,6 +251,7 @@
 // receive relays the response or decides about a retry.
 func (a *attempt) receive() (result, bool) {
 	x := a.x
+	x.trace = a.trace
 	if a.sent() {
 		x.sends++
 	}
@@ -284,6 +287,7 @@
 		a.info, a.known = info, a.x.pool.RecordLoad(time.Now(), a.grant, info.Load)
 	} else {
 		info.Notice = pool.Notice{Leaving: info.Notice.Leaving}
+		a.x.handler.stats.extra.Inc(1)
 	}
 	a.x.pool.RecordNotice(time.Now(), a.grant, info.Notice)
 }
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -223,8 +223,9 @@
 	lastEvents      time.Time         // when events of a stream were last written
 	longestPause    time.Duration     // between events of a stream
 	endpointID      core.EndpointID
-	trial           bool        // the request is sent once in spite of its quarantined parts
-	quarantinedPart core.PartID // because of which the request was not sent
+	trace           endpoint.Trace // of the last time that it was sent
+	trial           bool           // the request is sent once in spite of its quarantined parts
+	quarantinedPart core.PartID    // because of which the request was not sent
 	stage           stage
 	queueTime       time.Duration
 	expectedLatency time.Duration // to the first event, as predicted by the pool
@@ -497,7 +498,7 @@
 		}
 		x.handler.stats.retries.Inc(1)
 		x.handler.o.Log.Info("repeat", "request", x.info.ID, "route", x.route.Name, "endpoint", a.grant.Endpoint.ID, "reason", r.reason,
-			"cause", errorText(x.cause), "proof", a.notRunProof(), "took", milliseconds(a.sinceSent(time.Now())), "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
+			"cause", errorText(x.cause), "proof", a.notRunProof(), "took", milliseconds(a.sinceSent(time.Now())), "conn", a.trace.Conn, "carried", a.trace.Carried, "extra", a.trace.Extra, "sent", x.sends, "ran", x.possibleRuns, "after", x.lastEventID, "framing", x.framing, "rest", x.unfinishedBytes, "parts", x.loggedParts(), "begun", milliseconds(x.begun))
 	}
 }
 
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -18,6 +18,7 @@
 	registry  metrics.Registry
 	retries   metrics.Counter
 	panics    metrics.Counter
+	extra     metrics.Counter // responses to other requests that arrived while a request waited for its own
 	queueTime metrics.Timer
 	firstByte metrics.Timer
 	total     metrics.Timer
@@ -30,6 +31,7 @@
 		registry:  r,
 		retries:   metrics.GetOrRegisterCounter("request.repeated", r),
 		panics:    metrics.GetOrRegisterCounter("request.panics", r),
+		extra:     metrics.GetOrRegisterCounter("response.extra", r),
 		queueTime: metrics.GetOrRegisterTimer("request.wait", r),
 		firstByte: metrics.GetOrRegisterTimer("request.first", r),
 		total:     metrics.GetOrRegisterTimer("request.whole", r),
@@ -69,6 +71,12 @@
 	if x.endpointID != "" {
 		values = append(values, "endpoint", x.endpointID, "sent", x.sends, "ran", x.possibleRuns, "running", x.endpointLoad, "expected", milliseconds(x.expectedLatency))
 	}
+	if x.trace.Conn != 0 {
+		values = append(values, "conn", x.trace.Conn, "carried", x.trace.Carried)
+	}
+	if x.trace.Extra > 0 {
+		values = append(values, "extra", x.trace.Extra)
+	}
 	if x.statedLoad.Slots > 0 {
 		values = append(values, "known", x.knownLoad, "busy", x.statedLoad.Running, "queued", x.statedLoad.Waiting, "slowness", x.statedLoad.Slowness)
 	}
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -362,7 +362,7 @@
 	b.release(o)
 	a.recordOverlap(b)
 	x.handler.o.Log.Info("standby ended", "request", x.info.ID, "standby", b.grant.Endpoint.ID, "outcome", o.String(), "cause", errorText(err),
-		"proof", b.notRunProof(), "took", milliseconds(b.sinceSent(time.Now())))
+		"proof", b.notRunProof(), "took", milliseconds(b.sinceSent(time.Now())), "conn", b.trace.Conn, "carried", b.trace.Carried, "extra", b.trace.Extra)
 	return false
 }
 
