io/endpoint: no request id goes over one connection twice

Cause: a response was bound to a send by the request id alone, and the rule that the same id must not go over a connection again stood at the caller of the client, by endpoint id (attempt.revisit), while connections are kept by address. An address that is listed under a new id, or a caller that repeats its id, got past it; the copy of the earlier refusal then proved that a running request had not run.

A connection now remembers the ids that it has carried (hashes, 512 at most, then it is closed), and the client takes another one for an id that it has. Callers of the client need not know: Request.NewConnection is gone. A response without an id counts only as the first one of its connection, no longer after a response to another request.

TestNoIDTwiceOnConnection fails before. TestLateCopyOfEarlierResponse sends the same id again without asking for a new connection, and with a copy without an id. TestReuse and TestNonIdempotentUsesRecentConnections use two ids, as one id would never reuse a connection.

--- /dev/null
+++ b/io/endpoint/carried_test.go
@@ -0,0 +1,63 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"monsoondale/io/endpoint"
+)
+
+// Guards against a request id that goes over a connection for the second time, where a copy of the first response would be taken for the
+// second one, against a connection for each repeated id although others have not carried it, and against connections that remember
+// ids without an end.
+func TestNoIDTwiceOnConnection(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		ids         func(i int) string
+		requests    int
+		connections int
+	}{
+		{"different ids", func(i int) string { return fmt.Sprint("r", i) }, 500, 1},
+		{"as many ids as a connection remembers", func(i int) string { return fmt.Sprint("r", i) }, 1100, 3},
+		{"each id twice in a row", func(i int) string { return fmt.Sprint("r", i/2) }, 200, 2},
+		{"each id four times in a row", func(i int) string { return fmt.Sprint("r", i/4) }, 200, 4},
+		{"three ids in turn", func(i int) string { return fmt.Sprint("r", i%3) }, 12, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var mu sync.Mutex
+			connections, repeated := 0, 0
+			address := serve(t, func(n int, conn net.Conn, r *bufio.Reader) {
+				carried := map[string]bool{}
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					id := req.Header.Get("Request")
+					mu.Lock()
+					connections = max(connections, n+1)
+					if carried[id] {
+						repeated++
+					}
+					mu.Unlock()
+					carried[id] = true
+					respond(conn, id, "", "own")
+				}
+			})
+			client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"})
+			for i := range c.requests {
+				_, _, err := roundTrip(client, address, c.ids(i), true, 0)
+				g.Expect(err).ToNot(HaveOccurred())
+			}
+			g.Expect(repeated).To(Equal(0))
+			g.Expect(connections).To(Equal(c.connections))
+		})
+	}
+}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -1,7 +1,9 @@
 // Package endpoint is an HTTP/1.1 client for endpoints. It sends each request at most once and distinguishes requests
-// that were certainly not sent from those that may have been. It matches responses to requests by the request id that
-// endpoints echo, because a faulty endpoint may send a response twice or late. A response without an id is accepted only on a
-// new connection.
+// that were certainly not sent from those that may have been.
+//
+// A faulty endpoint may send a response twice or late. Responses are matched to requests by the request id that endpoints echo, and
+// no id is sent twice on one connection, so that a copy of an earlier response to the same request is not taken for the one that is
+// due. A response without an id is accepted only if it is the first one on its connection.
 package endpoint
 
 import (
@@ -12,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -89,9 +92,6 @@
 	Body   []byte
 	// NonIdempotent marks a request that must not be sent on a connection that has been idle for long.
 	NonIdempotent bool
-	// NewConnection requires a connection on which no request has been sent. A request that is sent to the same endpoint
-	// again needs one: on a connection that it has used, a late copy of the earlier response would be taken for its own.
-	NewConnection bool
 	// BeforeSend is called when a connection is available, immediately before the request is sent. After an error, nothing
 	// is sent. May be nil.
 	BeforeSend func() error
@@ -122,7 +122,8 @@
 type conn struct {
 	net.Conn
 	number    uint64
-	carried   int           // number of requests that were sent
+	carried   carriedIDs
+	responses int           // number of responses read, without the informational ones
 	r         *bufio.Reader // reads from Conn through headerLimiter
 	limiter   *headerLimiter
 	expires   time.Time // when the connection must no longer be used
@@ -199,8 +200,8 @@
 	if r.Trace == nil {
 		r.Trace = &Trace{}
 	}
-	r.Trace.Conn, r.Trace.Carried = cn.number, cn.carried
-	cn.carried++
+	r.Trace.Conn, r.Trace.Carried = cn.number, len(cn.carried)
+	cn.carried.add(r.ID)
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
 	resp.stop = context.AfterFunc(ctx, cn.reset)
@@ -234,7 +235,8 @@
 			continue
 		}
 		id := hr.Header.Get(c.o.RequestIDHeader)
-		matched := id == string(r.ID) || id == "" && !reused
+		cn.responses++
+		matched := id != "" && id == string(r.ID) || id == "" && cn.responses == 1
 		if r.OnHeader != nil {
 			r.OnHeader(hr, matched)
 		}
@@ -317,8 +319,8 @@
 // connection returns an idle or a new connection to the address, and reports whether it is reused. A request without an id needs a new
 // one, as nothing tells its response from a late one to another request.
 func (c *Client) connection(ctx context.Context, address string, r *Request) (*conn, bool, error) {
-	for !r.NewConnection && r.ID != "" {
-		cn := c.takeIdle(address, r.NonIdempotent)
+	for r.ID != "" {
+		cn := c.takeIdle(address, r)
 		if cn == nil {
 			break
 		}
@@ -337,29 +339,39 @@
 	return &conn{Conn: n, number: connections.Add(1), r: bufio.NewReaderSize(l, readBufferBytes), limiter: l}, false, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection to an address, or nil if there is no suitable one.
-func (c *Client) takeIdle(address string, nonIdempotent bool) *conn {
+// takeIdle removes and returns the most recently used idle connection to an address that suits a request, or nil if there is none.
+func (c *Client) takeIdle(address string, r *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	cn := list[len(list)-1]
-	if nonIdempotent && now.Sub(cn.idleSince) > nonIdempotentMaxIdle {
-		return nil
-	}
-	c.idle[address] = list[:len(list)-1]
-	if now.After(cn.expires) {
-		cn.Close()
-		for _, old := range c.idle[address] { // idle for even longer
-			old.Close()
+	for i := len(list) - 1; i >= 0; i-- {
+		cn := list[i]
+		if now.After(cn.expires) { // the others have been idle for even longer
+			for _, old := range list[:i+1] {
+				old.Close()
+			}
+			c.setIdle(address, list[i+1:])
+			return nil
+		}
+		if r.NonIdempotent && now.Sub(cn.idleSince) > nonIdempotentMaxIdle {
+			return nil
 		}
+		if !cn.carried.has(r.ID) {
+			c.setIdle(address, slices.Delete(list, i, i+1))
+			return cn
+		}
+	}
+	return nil
+}
+
+// setIdle replaces the idle connections to an address. The caller holds mu.
+func (c *Client) setIdle(address string, list []*conn) {
+	if len(list) == 0 {
 		delete(c.idle, address)
-		return nil
+		return
 	}
-	return cn
+	c.idle[address] = list
 }
 
 // alive reports whether an idle connection is open and has no data to read. Data on an idle connection belongs to no
@@ -410,7 +422,7 @@
 		r.conn.reset()
 		return
 	}
-	if r.conn.r.Buffered() > 0 || !r.reusable() {
+	if r.conn.r.Buffered() > 0 || !r.reusable() || len(r.conn.carried) >= maxCarried {
 		r.conn.Close()
 		return
 	}
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	resp, err := c.Do(ctx, address, endpoint.Request{
-		ID: core.RequestID(id), Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, size), NonIdempotent: nonIdempotent,
+		ID: core.RequestID(id), Method: "POST", Target: "/", Host: "h", Header: http.Header{"Request": {id}}, Body: make([]byte, size), NonIdempotent: nonIdempotent,
 	})
 	if err != nil {
 		return "", false, err
@@ -139,7 +139,7 @@
 					if c.size == 0 {
 						io.Copy(io.Discard, req.Body)
 					}
-					respond(conn, "r", c.header, "own")
+					respond(conn, req.Header.Get("Request"), c.header, "own")
 					io.WriteString(conn, c.after)
 					if c.close {
 						return
@@ -152,11 +152,11 @@
 			})
 			// The kernel must not take the whole body. On a busy machine, one of 8 MiB, which no buffers hold, takes seconds.
 			client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo", Dial: dialWithSmallBuffer})
-			body, _, err := roundTrip(client, address, "r", false, c.size)
+			body, _, err := roundTrip(client, address, "r1", false, c.size)
 			g.Expect(err).ToNot(HaveOccurred())
 			g.Expect(body).To(Equal("own"))
 			time.Sleep(50 * time.Millisecond)
-			_, reused, err := roundTrip(client, address, "r", false, c.size)
+			_, reused, err := roundTrip(client, address, "r2", false, c.size)
 			g.Expect(err).ToNot(HaveOccurred())
 			g.Expect(reused).To(Equal(c.reused))
 		})
@@ -168,17 +168,18 @@
 	g := NewWithT(t)
 	address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
 		for {
-			if _, err := http.ReadRequest(r); err != nil {
+			req, err := http.ReadRequest(r)
+			if err != nil {
 				return
 			}
-			respond(conn, "r", "", "own")
+			respond(conn, req.Header.Get("Request"), "", "own")
 		}
 	})
 	client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"})
-	_, _, err := roundTrip(client, address, "r", false, 0)
+	_, _, err := roundTrip(client, address, "r1", false, 0)
 	g.Expect(err).ToNot(HaveOccurred())
 	time.Sleep(400 * time.Millisecond)
-	_, reused, err := roundTrip(client, address, "r", true, 0)
+	_, reused, err := roundTrip(client, address, "r2", true, 0)
 	g.Expect(err).ToNot(HaveOccurred())
 	g.Expect(reused).To(BeFalse())
 }
--- a/io/endpoint/repeated_test.go
+++ b/io/endpoint/repeated_test.go
@@ -20,16 +20,15 @@
 // response to the same request when it is sent to the endpoint again.
 func TestLateCopyOfEarlierResponse(t *testing.T) {
 	for _, c := range []struct {
-		name          string
-		copyID        string // header line of the late copy
-		second        core.RequestID
-		newConnection bool
-		status        int
+		name   string
+		copyID string // header line of the late copy
+		second core.RequestID
 	}{
-		{"copy without an id", "", "r2", false, 200},
-		{"copy with the id of the earlier request", "Echo: r1\r\n", "r2", false, 200},
-		{"copy without an id, request without an id", "", "", false, 200},
-		{"same request again", "Echo: r1\r\n", "r1", true, 200},
+		{"copy without an id", "", "r2"},
+		{"copy with the id of the earlier request", "Echo: r1\r\n", "r2"},
+		{"copy without an id, request without an id", "", ""},
+		{"same request again", "Echo: r1\r\n", "r1"},
+		{"same request again, copy without an id", "", "r1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -51,11 +50,11 @@
 				}
 			})
 			client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"})
-			send := func(id core.RequestID, newConnection bool) (int, error) {
+			send := func(id core.RequestID) (int, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 				defer cancel()
 				resp, err := client.Do(ctx, address, endpoint.Request{
-					ID: id, Method: "POST", Target: "/", Host: "h", Header: http.Header{"Request": {string(id)}}, NewConnection: newConnection,
+					ID: id, Method: "POST", Target: "/", Host: "h", Header: http.Header{"Request": {string(id)}},
 				})
 				if err != nil {
 					return 0, err
@@ -64,11 +63,11 @@
 				resp.MarkBodyRead()
 				return resp.StatusCode, nil
 			}
-			status, err := send("r1", false)
+			status, err := send("r1")
 			g.Expect(err).ToNot(HaveOccurred())
 			g.Expect(status).To(Equal(503))
-			status, err = send(c.second, c.newConnection)
-			g.Expect(status).To(Equal(c.status))
+			status, err = send(c.second)
+			g.Expect(status).To(Equal(200))
 			var unsent *endpoint.NotSentError
 			g.Expect(errors.As(err, &unsent)).To(BeFalse())
 		})
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -145,7 +145,6 @@
 	a.resp, a.err = x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
 		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
-		NewConnection: a.revisit,
 		OnHeader:      a.recordNotice,
 		Trace:         &a.trace,
 		BeforeSend: func() error {
