core/fleet: each burst of digests begins at another receiver

The last tenth of the messages that an instance sends at once is lost where its link is full. The order now starts at another receiver each time, evenly spread, so that a lost end hits each receiver about as often as its size says and not in a row.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -122,6 +122,7 @@
 	lastRelayed            time.Time // when Due last reported a summary
 	watches                bool      // watches the store for all, or tries to
 	vacantSince            time.Time // since when too few others watch the store; zero if enough do
+	rounds                 uint32    // goldenStep times the number of states that were sent
 }
 
 // New returns a Fleet that knows only the instance itself.
@@ -393,15 +394,23 @@
 }
 
 // StateTargets returns the instances to which this one sends its state. Silent ones are included, so that one that restarts
-// learns of the others without the store.
+// learns of the others without the store. Each call begins at another one: a full link loses the end of a burst of messages, which must
+// not hit the same receivers each time.
 func (f *Fleet) StateTargets() []Member {
 	out := make([]Member, 0, len(f.locals))
-	for _, e := range f.locals {
-		out = append(out, e.Member)
+	f.rounds += goldenStep
+	n := uint64(len(f.locals))
+	first := uint64(f.rounds) * n >> 32
+	for i := range n {
+		out = append(out, f.locals[(first+i)%n].Member)
 	}
 	return out
 }
 
+// goldenStep is 2^32 divided by the golden ratio. Multiples of it modulo 2^32 are spread evenly, so that consecutive bursts end at
+// receivers that are far apart.
+const goldenStep = 2654435769
+
 // IsRelay reports whether this instance sends summaries: it is one of the first of its data centre by name that are heard and
 // not leaving.
 func (f *Fleet) IsRelay(now time.Time) bool {
