io/endpoint, io/proxy: a leaving notice in a copy is not recorded for the next endpoint at an address

What callers saw: an instance sent no more requests to an endpoint that had just started, until it started again, and refused requests (503) where it was the only one of its service.

Cause: of a response to another request, attempt.recordNotice believed that its sender leaves, and recorded it for the endpoint of the grant. Connections are kept by address, and an address is used again: by another endpoint id, or by another start under the same id. If the last bytes of the former process are late (a copy of a response, then the end of the connection), a request for the new one has gone over that connection, and the notice counted for the new one.

Evidence: TestLeavingOfFormerEndpointAtAddress failed before the change in both cases of a new process (503 instead of 200), and passes now; its third case, the same start, passed before and passes now.

Why it works: a process keeps its connections until it ends, so all requests on a connection reach one process. A connection knows for which start of an endpoint its first request was meant, and whether there were requests for others. On such a connection, only the response to the request itself says anything about the endpoint of its grant, as the request names that one. No connection is opened or closed for it.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -82,9 +82,16 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Peer is the process for which a request is meant: one start of an endpoint.
+type Peer struct {
+	ID          core.EndpointID
+	Incarnation int64 // 0 if unknown
+}
+
 // Request is one request to an endpoint.
 type Request struct {
 	ID     core.RequestID
+	Peer   Peer
 	Method string
 	Target string // path and query as the caller sent them
 	Host   string
@@ -107,6 +114,7 @@
 	Conn    uint64 // number of the connection, unique within the process
 	Carried int    // number of requests that were sent on the connection before
 	Extra   int    // number of responses to other requests that arrived while this one waited
+	Mixed   bool   // the connection has carried requests for more than one peer
 }
 
 // connections is the number of connections that all clients have opened.
@@ -123,6 +131,8 @@
 	net.Conn
 	number    uint64
 	carried   carriedIDs
+	peer      Peer          // of the first request
+	mixed     bool          // there were requests for other peers
 	responses int           // number of responses read, without the informational ones
 	r         *bufio.Reader // reads from Conn through headerLimiter
 	limiter   *headerLimiter
@@ -200,7 +210,11 @@
 	if r.Trace == nil {
 		r.Trace = &Trace{}
 	}
-	r.Trace.Conn, r.Trace.Carried = cn.number, len(cn.carried)
+	if len(cn.carried) == 0 {
+		cn.peer = r.Peer
+	}
+	cn.mixed = cn.mixed || cn.peer != r.Peer
+	r.Trace.Conn, r.Trace.Carried, r.Trace.Mixed = cn.number, len(cn.carried), cn.mixed
 	cn.carried.add(r.ID)
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -143,7 +143,7 @@
 	h := forwardHeader(x.r.Header)
 	x.handler.o.Headers.SetForwardHeaders(h, forwardInfo)
 	a.resp, a.err = x.handler.o.Client.Do(a.ctx, a.grant.Endpoint.Address, endpoint.Request{
-		ID: x.info.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
+		ID: x.info.ID, Peer: endpoint.Peer{ID: a.grant.Endpoint.ID, Incarnation: a.grant.Endpoint.Incarnation}, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		NonIdempotent: !x.route.Retryable(),
 		OnHeader:      a.recordNotice,
 		Trace:         &a.trace,
@@ -279,13 +279,14 @@
 }
 
 // recordNotice reads the header of a response and records what the endpoint states about itself. Of a response to another
-// request, only that it leaves counts: a late copy of a rejection would extend the wait.
+// request, only that it leaves counts: a late copy of a rejection would extend the wait. On a connection that has carried requests for
+// another endpoint, or another start of this one, such a response may be about that one.
 func (a *attempt) recordNotice(r *http.Response, matched bool) {
 	info := a.x.handler.o.Headers.ParseResponse(r)
 	if matched {
 		a.info, a.known = info, a.x.pool.RecordLoad(time.Now(), a.grant, info.Load)
 	} else {
-		info.Notice = pool.Notice{Leaving: info.Notice.Leaving}
+		info.Notice = pool.Notice{Leaving: info.Notice.Leaving && !a.trace.Mixed}
 		a.x.handler.stats.extra.Inc(1)
 	}
 	a.x.pool.RecordNotice(time.Now(), a.grant, info.Notice)
