--- a/io/endpoint/model_test.go
+++ b/io/endpoint/model_test.go
@@ -205,7 +205,8 @@
 	notRun       bool
 	body         string
 	bodyErr      error
-	taken        []string // numbers in the headers that counted as its own
+	taken, extra []string // numbers in the headers that counted as its own, and in others that arrived
+	trace        endpoint.Trace
 }
 
 // addressModel is one address, the endpoints that have it in turn, and a client.
@@ -235,11 +236,14 @@
 func (m *addressModel) do(ctx context.Context, s *modelSend) {
 	defer func() { s.done = true }()
 	resp, err := m.client.Do(ctx, "address", endpoint.Request{
-		ID: s.id, Method: "POST", Target: "/", Host: "h", Body: make([]byte, s.size), NonIdempotent: s.order,
+		ID: s.id, Method: "POST", Target: "/", Host: "h", Body: make([]byte, s.size), NonIdempotent: s.order, Trace: &s.trace,
+		Peer:   endpoint.Peer{ID: "e", Incarnation: int64(s.expected)},
 		Header: http.Header{"Request": {string(s.id)}, "Number": {strconv.Itoa(s.number)}},
 		OnHeader: func(r *http.Response, matched bool) {
-			if matched {
-				s.taken = append(s.taken, r.Header.Get("Number"))
+			if n := r.Header.Get("Number"); matched {
+				s.taken = append(s.taken, n)
+			} else {
+				s.extra = append(s.extra, n)
 			}
 		},
 	})
@@ -353,6 +357,11 @@
 			m.fail("request %d took the response to request %s for its own", s.number, n)
 		}
 	}
+	for _, n := range s.extra {
+		if i, _ := strconv.Atoi(n); m.sends[i].expected != s.expected && !s.trace.Mixed {
+			m.fail("request %d: the response to request %s, which was for another endpoint, seems to be from its own", s.number, n)
+		}
+	}
 	var unsent *endpoint.NotSentError
 	switch {
 	case errors.As(s.err, &unsent) && s.conn != nil:
@@ -556,7 +565,8 @@
 
 // Guards against a response that counts for a send to which it does not belong, and against "not run" for a request that runs, whatever
 // copies of earlier responses an endpoint writes and whichever endpoint has the address; also against an id that goes over a connection
-// twice, connections that remember ids without an end, and connections opened or closed although one could serve the request.
+// twice, a response from a request for another endpoint that seems to be from the endpoint itself, connections that remember ids without an
+// end, and connections opened or closed although one could serve the request.
 func TestResponsesBelongToSends(t *testing.T) {
 	var ops []modelOp
 	for op, n := range modelWeights {
