--- a/io/endpoint/model_test.go
+++ b/io/endpoint/model_test.go
@@ -252,7 +252,7 @@
 		return
 	}
 	defer resp.Close()
-	s.status, s.notRun = resp.StatusCode, resp.Header.Get("Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest
+	s.status, s.notRun = resp.StatusCode, resp.Header.Get("Rejected") != "" || resp.StatusCode == http.StatusMisdirectedRequest
 	b, err := io.ReadAll(resp.Body)
 	s.body, s.bodyErr = string(b), err
 	if err == nil {
@@ -421,7 +421,7 @@
 	}
 	h := fmt.Sprintf("HTTP/1.1 %s\r\nNumber: %d\r\n", status, s.number)
 	if refusal {
-		h += "Not-Run: 1\r\n"
+		h += "Rejected: 1\r\n"
 	} else {
 		s.ran = true
 	}
