io/endpoint: the connection that was used last is kept, not those that have been idle for longest

What callers saw: nothing wrong, but a connection was opened for each request that may run once, and closed after it, while as many connections as are kept (8 to an address) had been idle for over 300 ms. Connections that the endpoint had ended counted too, until one was taken.

Cause: putIdle closed the connection that came in when the list was full. Requests that may run once use none that has been idle for over 300 ms, so the list stayed as it was for up to 5 s.

Evidence: TestConnectionUsedLastIsKept: 8 connections for 8 requests before the change, 3 now.

Why it works: the list is in the order of use, so its first connection is of no use for a request for which a later one is not.

--- a/io/endpoint/carried_test.go
+++ b/io/endpoint/carried_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -61,3 +63,34 @@
 		})
 	}
 }
+
+// Guards against a connection for each request that may run once while as many connections as are kept have been idle for too long for
+// such requests: the one that was used last is kept, not the others.
+func TestConnectionUsedLastIsKept(t *testing.T) {
+	g := NewWithT(t)
+	var connections atomic.Int64
+	address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		connections.Add(1)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			respond(conn, req.Header.Get("Request"), "", "own")
+		}
+	})
+	client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo", MaxIdle: 2})
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Go(func() { roundTrip(client, address, fmt.Sprint("r", i), false, 0) })
+	}
+	wg.Wait()
+	g.Expect(connections.Load()).To(Equal(int64(2)))
+	time.Sleep(400 * time.Millisecond)
+	for i := range 6 {
+		_, _, err := roundTrip(client, address, fmt.Sprint("order", i), true, 0)
+		g.Expect(err).ToNot(HaveOccurred())
+	}
+	g.Expect(connections.Load()).To(Equal(int64(3)))
+}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -500,11 +500,12 @@
 	cn.expires = cn.idleSince.Add(timeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[address]) >= c.o.MaxIdle {
-		cn.Close()
-		return
+	list := c.idle[address]
+	if len(list) >= c.o.MaxIdle {
+		list[0].Close() // requests that are not idempotent can't use a connection that has been idle for longer
+		list = slices.Delete(list, 0, 1)
 	}
-	c.idle[address] = append(c.idle[address], cn)
+	c.idle[address] = append(list, cn)
 }
 
 // CloseIdleExcept closes the idle connections to addresses for which keep returns false.
