internal/fake/engine: all responses echo the request id

Refusals, load reports, cache events and orders had none, so that each of these calls needed a connection of its own. The tests of whole instances, test/e2e and test/faults passed before and after this change.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -143,9 +143,12 @@
 	return slices.Clone(e.acceptedOrders)
 }
 
-// handle registers a handler to which the faults freeze and down apply.
+// handle registers a handler to which the faults freeze and down apply. All of its responses echo the request id.
 func (e *Engine) handle(pattern string, h http.HandlerFunc) {
 	e.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get("X-Request-Id"); id != "" {
+			w.Header().Set("X-Request-Id", id)
+		}
 		if !e.WaitWhile(r.Context(), func(f Fault) bool { return f.Freeze }) {
 			return
 		}
--- a/internal/fake/engine/engine_test.go
+++ b/internal/fake/engine/engine_test.go
@@ -267,3 +267,23 @@
 		g.Expect(call(t.Context(), e, "GET", "/load", "", "", nil).Code).To(Equal(503))
 	})
 }
+
+// Guards against responses without an id, after which clients need new connections.
+func TestResponsesEchoRequestID(t *testing.T) {
+	for _, tt := range []struct{ method, path string }{
+		{"GET", "/load"},
+		{"GET", "/cache"},
+		{"GET", "/orders"},
+		{"POST", "/orders"},
+		{"GET", "/v1/streams/unknown"},
+		{"DELETE", "/v1/streams/unknown"},
+		{"POST", "/v1/chat/completions"},
+	} {
+		for _, f := range []Fault{{}, {Down: true}} {
+			e := New(Options{})
+			e.SetFault(f)
+			w := call(t.Context(), e, tt.method, tt.path, "r", "", engine.Chat{})
+			NewWithT(t).Expect(w.Header().Get("X-Request-Id")).To(Equal("r"), "%s %s", tt.method, tt.path)
+		}
+	}
+}
