--- a/io/engine/copies_test.go
+++ b/io/engine/copies_test.go
@@ -16,6 +16,7 @@
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/io/engine"
+	wire "monsoondale/wire/engine"
 )
 
 // rawResponse formats a response. An empty id is left out.
@@ -194,6 +195,22 @@
 				g.Expect(ev.Items).To(HaveLen(1))
 			},
 		},
+		{
+			name:      "order accepted after one was refused",
+			responses: [2]string{rawResponse(409, "", "application/json", "{}"), rawResponse(200, "", "application/json", "{}")},
+			call: func(ctx context.Context, g Gomega, c *engine.Client, address string) {
+				g.Expect(c.Order(ctx, address, wire.Order{Fence: 1})).To(MatchError(engine.ErrStaleFence))
+				g.Expect(c.Order(ctx, address, wire.Order{Fence: 2})).To(Succeed())
+			},
+		},
+		{
+			name:      "order refused after one was accepted",
+			responses: [2]string{rawResponse(200, "", "application/json", "{}"), rawResponse(409, "", "application/json", "{}")},
+			call: func(ctx context.Context, g Gomega, c *engine.Client, address string) {
+				g.Expect(c.Order(ctx, address, wire.Order{Fence: 2})).To(Succeed())
+				g.Expect(c.Order(ctx, address, wire.Order{Fence: 1})).To(MatchError(engine.ErrStaleFence))
+			},
+		},
 		{
 			name:      "order in force",
 			responses: [2]string{rawResponse(200, "", "application/json", `{"fence":1,"model":"old"}`), rawResponse(200, "", "application/json", `{"fence":2,"model":"new"}`)},
