--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -24,6 +24,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"monsoondale/common/carried"
 	"monsoondale/common/dial"
 	"monsoondale/common/framing"
 	"monsoondale/core"
@@ -130,7 +131,7 @@
 type conn struct {
 	net.Conn
 	number    uint64
-	carried   carriedIDs
+	carried   carried.IDs
 	peer      Peer          // of the first request
 	mixed     bool          // there were requests for other peers
 	responses int           // number of responses read, without the informational ones
@@ -215,7 +216,7 @@
 	}
 	cn.mixed = cn.mixed || cn.peer != r.Peer
 	r.Trace.Conn, r.Trace.Carried, r.Trace.Mixed = cn.number, len(cn.carried), cn.mixed
-	cn.carried.add(r.ID)
+	cn.carried.Add(string(r.ID))
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
 	resp.stop = context.AfterFunc(ctx, cn.reset)
@@ -371,7 +372,7 @@
 		if r.NonIdempotent && now.Sub(cn.idleSince) > nonIdempotentMaxIdle {
 			return nil
 		}
-		if !cn.carried.has(r.ID) {
+		if !cn.carried.Has(string(r.ID)) {
 			c.setIdle(address, slices.Delete(list, i, i+1))
 			return cn
 		}
@@ -436,7 +437,7 @@
 		r.conn.reset()
 		return
 	}
-	if r.conn.r.Buffered() > 0 || !r.reusable() || len(r.conn.carried) >= maxCarried {
+	if r.conn.r.Buffered() > 0 || !r.reusable() || r.conn.carried.Full() {
 		r.conn.Close()
 		return
 	}
--- a/io/internal/roundtrip/pool.go
+++ b/io/internal/roundtrip/pool.go
@@ -8,27 +8,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"monsoondale/common/carried"
 	"monsoondale/core"
 )
 
-const (
-	// maxIdle is the number of idle connections that are kept under one key.
-	maxIdle = 64
-	// maxCarried is the number of requests after which a connection is closed, which bounds the ids that it remembers to 4 KB.
-	maxCarried = 512
-)
-
-// carriedIDs are the hashes of the ids of all requests that were sent on a connection. Two ids with one hash only cost a
-// connection.
-type carriedIDs []uint64
-
-func (c *carriedIDs) add(id core.RequestID) { *c = append(*c, xxhash.Sum64String(string(id))) }
-
-func (c carriedIDs) has(id core.RequestID) bool {
-	return slices.Contains(c, xxhash.Sum64String(string(id)))
-}
+// maxIdle is the number of idle connections that are kept under one key.
+const maxIdle = 64
 
 // poolKey identifies the connections that may be used for a request.
 type poolKey struct {
@@ -40,7 +25,7 @@
 type conn struct {
 	*http.ClientConn
 	key     poolKey
-	carried carriedIDs
+	carried carried.IDs
 	expiry  *time.Timer // closes the connection when it has been idle for idleTimeout
 }
 
@@ -73,7 +58,7 @@
 	for i := len(p.idle[key]) - 1; i >= 0; i-- {
 		cn := p.idle[key][i]
 		open := cn.Available() > 0
-		if open && cn.carried.has(id) {
+		if open && cn.carried.Has(string(id)) {
 			continue
 		}
 		p.remove(cn)
@@ -104,7 +89,7 @@
 func (p *pool) put(cn *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || cn.Available() == 0 || len(cn.carried) >= maxCarried || len(p.idle[cn.key]) >= maxIdle {
+	if p.closed || cn.Available() == 0 || cn.carried.Full() || len(p.idle[cn.key]) >= maxIdle {
 		cn.Close()
 		return
 	}
--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -154,7 +154,7 @@
 		return nil, err
 	}
 	first := len(cn.carried) == 0
-	cn.carried.add(r.ID)
+	cn.carried.Add(string(r.ID))
 	resp, err := cn.RoundTrip(r.httpRequest(ctx))
 	if err != nil {
 		cn.Close()
