io/endpoint: endpoints receive exactly the id by which their responses are matched

A caller that sends two lines with its request id had both sent on, while the first one was compared and remembered. An id that the Connection header names was not sent on at all, so that the response on a used connection was never matched.

The client writes the line itself, from the id that it compares, and drops all others.

--- a/io/endpoint/carried_test.go
+++ b/io/endpoint/carried_test.go
@@ -55,7 +55,7 @@
 			})
 			client := endpoint.New(endpoint.Options{RequestIDHeader: "Echo"})
 			for i := range c.requests {
-				_, _, err := roundTrip(client, address, c.ids(i), true, 0)
+				_, _, err := roundTrip(client, address, c.ids(i), false, 0)
 				g.Expect(err).ToNot(HaveOccurred())
 			}
 			g.Expect(repeated).To(Equal(0))
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"os"
 	"slices"
 	"strconv"
@@ -75,7 +76,7 @@
 
 // Options configures a Client.
 type Options struct {
-	// RequestIDHeader is the response header that echoes the request id.
+	// RequestIDHeader is the header with the request id, which responses echo. The client sets it.
 	RequestIDHeader string
 	// MaxIdle is the maximum number of idle connections to each endpoint; default 8.
 	MaxIdle int
@@ -200,6 +201,7 @@
 // Do sends a request to an address and returns the response once its header has arrived. When ctx ends, reads of the body
 // fail.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Response, error) {
+	r.ID = core.RequestID(textproto.TrimString(string(r.ID))) // as it is sent
 	cn, reused, err := c.connection(ctx, address, &r)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
@@ -221,7 +223,7 @@
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
 	resp.stop = context.AfterFunc(ctx, cn.reset)
 	var sent int
-	payload := r.encode()
+	payload := r.encode(c.o.RequestIDHeader)
 	// Small requests fit into the socket buffer. Larger ones are sent while the response is read, because an endpoint may
 	// respond before it has read the whole body.
 	if len(payload) <= readBufferBytes {
@@ -317,12 +319,16 @@
 	return r.BeforeSend()
 }
 
-// encode returns the request in HTTP/1.1 format.
-func (r *Request) encode() []byte {
+// encode returns the request in HTTP/1.1 format. Its only header line idHeader is that with the id, by which responses are matched.
+func (r *Request) encode(idHeader string) []byte {
 	var b bytes.Buffer
 	b.Grow(1024 + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	r.Header.Write(&b) // a bytes.Buffer never fails
+	idHeader = http.CanonicalHeaderKey(idHeader)
+	r.Header.WriteSubset(&b, map[string]bool{idHeader: true}) // a bytes.Buffer never fails
+	if r.ID != "" {
+		http.Header{idHeader: {string(r.ID)}}.Write(&b)
+	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
