io/endpoint: a metric of connections passed over for an id; only expired idle connections are closed

Idle timeouts differ from response to response, so that an expired connection does not show that an older one has expired. The id is hashed once, outside the lock. Trace.Mixed is MultiplePeers.

--- a/common/carried/carried_test.go
+++ b/common/carried/carried_test.go
@@ -8,10 +8,10 @@
 
 func Example() {
 	var ids carried.IDs
-	ids.Add("r1")
-	fmt.Println(ids.Has("r1"), ids.Has("r2"), ids.Full())
+	ids.Add(carried.Hash("r1"))
+	fmt.Println(ids.Has(carried.Hash("r1")), ids.Has(carried.Hash("r2")), ids.Full())
 	for len(ids) < 512 {
-		ids.Add("r1")
+		ids.Add(carried.Hash("r1"))
 	}
 	fmt.Println(ids.Full())
 	// Output:
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -84,7 +84,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Peer is the process for which a request is meant: one start of an endpoint.
+// Peer is the start of an endpoint for which a request is meant. The process at its address may be another one.
 type Peer struct {
 	ID          core.EndpointID
 	Incarnation int64 // 0 if unknown
@@ -116,7 +116,10 @@
 	Conn    uint64 // number of the connection, unique within the process
 	Carried int    // number of requests that were sent on the connection before
 	Extra   int    // number of responses to other requests that arrived while this one waited
-	Mixed   bool   // the connection has carried requests for more than one peer
+	Avoided int    // number of idle connections that were not used, as they had carried the id
+	// MultiplePeers reports whether the connection has carried requests for more than one peer, so that it is unknown which of them
+	// a response to another request is about.
+	MultiplePeers bool
 }
 
 // connections is the number of connections that all clients have opened.
@@ -134,7 +137,7 @@
 	number    uint64
 	carried   carried.IDs
 	peer      Peer          // of the first request
-	mixed     bool          // there were requests for other peers
+	peers     bool          // there were requests for other peers
 	responses int           // number of responses read, without the informational ones
 	r         *bufio.Reader // reads from Conn through headerLimiter
 	limiter   *headerLimiter
@@ -202,6 +205,9 @@
 // fail.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Response, error) {
 	r.ID = core.RequestID(textproto.TrimString(string(r.ID))) // as it is sent
+	if r.Trace == nil {
+		r.Trace = &Trace{}
+	}
 	cn, reused, err := c.connection(ctx, address, &r)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
@@ -210,15 +216,12 @@
 		cn.Close()
 		return nil, &NotSentError{Cause: err}
 	}
-	if r.Trace == nil {
-		r.Trace = &Trace{}
-	}
 	if len(cn.carried) == 0 {
 		cn.peer = r.Peer
 	}
-	cn.mixed = cn.mixed || cn.peer != r.Peer
-	r.Trace.Conn, r.Trace.Carried, r.Trace.Mixed = cn.number, len(cn.carried), cn.mixed
-	cn.carried.Add(string(r.ID))
+	cn.peers = cn.peers || cn.peer != r.Peer
+	r.Trace.Conn, r.Trace.Carried, r.Trace.MultiplePeers = cn.number, len(cn.carried), cn.peers
+	cn.carried.Add(carried.Hash(string(r.ID)))
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
 	resp.stop = context.AfterFunc(ctx, cn.reset)
@@ -362,23 +365,23 @@
 
 // takeIdle removes and returns the most recently used idle connection to an address that suits a request, or nil if there is none.
 func (c *Client) takeIdle(address string, r *Request) *conn {
+	hash := carried.Hash(string(r.ID))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	list := c.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
 		cn := list[i]
-		if now.After(cn.expires) { // the others have been idle for even longer
-			for _, old := range list[:i+1] {
-				old.Close()
-			}
-			c.setIdle(address, list[i+1:])
+		switch {
+		case now.After(cn.expires):
+			cn.Close()
+			list = slices.Delete(list, i, i+1)
+			c.setIdle(address, list)
+		case r.NonIdempotent && now.Sub(cn.idleSince) > nonIdempotentMaxIdle: // the others have been idle for even longer
 			return nil
-		}
-		if r.NonIdempotent && now.Sub(cn.idleSince) > nonIdempotentMaxIdle {
-			return nil
-		}
-		if !cn.carried.Has(string(r.ID)) {
+		case cn.carried.Has(hash):
+			r.Trace.Avoided++
+		default:
 			c.setIdle(address, slices.Delete(list, i, i+1))
 			return cn
 		}
@@ -509,7 +512,7 @@
 	defer c.mu.Unlock()
 	list := c.idle[address]
 	if len(list) >= c.o.MaxIdle {
-		list[0].Close() // requests that are not idempotent can't use a connection that has been idle for longer
+		list[0].Close() // the oldest is the least useful: non-idempotent requests need a recently used one
 		list = slices.Delete(list, 0, 1)
 	}
 	c.idle[address] = append(list, cn)
--- a/io/endpoint/model_test.go
+++ b/io/endpoint/model_test.go
@@ -358,7 +358,7 @@
 		}
 	}
 	for _, n := range s.extra {
-		if i, _ := strconv.Atoi(n); m.sends[i].expected != s.expected && !s.trace.Mixed {
+		if i, _ := strconv.Atoi(n); m.sends[i].expected != s.expected && !s.trace.MultiplePeers {
 			m.fail("request %d: the response to request %s, which was for another endpoint, seems to be from its own", s.number, n)
 		}
 	}
--- a/io/internal/roundtrip/pool.go
+++ b/io/internal/roundtrip/pool.go
@@ -53,12 +53,13 @@
 
 // take removes and returns the most recently used idle connection that has not carried the id, or nil if there is none.
 func (p *pool) take(key poolKey, id core.RequestID) *conn {
+	hash := carried.Hash(string(id))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle[key]) - 1; i >= 0; i-- {
 		cn := p.idle[key][i]
 		open := cn.Available() > 0
-		if open && cn.carried.Has(string(id)) {
+		if open && cn.carried.Has(hash) {
 			continue
 		}
 		p.remove(cn)
--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -19,6 +19,7 @@
 	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/propagation"
 
+	"monsoondale/common/carried"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/internal/testhook"
@@ -154,7 +155,7 @@
 		return nil, err
 	}
 	first := len(cn.carried) == 0
-	cn.carried.Add(string(r.ID))
+	cn.carried.Add(carried.Hash(string(r.ID)))
 	resp, err := cn.RoundTrip(r.httpRequest(ctx))
 	if err != nil {
 		cn.Close()
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -163,6 +163,7 @@
 			return nil
 		},
 	})
+	x.handler.stats.avoided.Inc(int64(a.trace.Avoided))
 }
 
 // sinceSent returns how long ago the request was sent; 0 if it was not.
@@ -286,7 +287,7 @@
 	if matched {
 		a.info, a.known = info, a.x.pool.RecordLoad(time.Now(), a.grant, info.Load)
 	} else {
-		info.Notice = pool.Notice{Leaving: info.Notice.Leaving && !a.trace.Mixed}
+		info.Notice = pool.Notice{Leaving: info.Notice.Leaving && !a.trace.MultiplePeers}
 		a.x.handler.stats.extra.Inc(1)
 	}
 	a.x.pool.RecordNotice(time.Now(), a.grant, info.Notice)
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -18,6 +18,7 @@
 	registry  metrics.Registry
 	retries   metrics.Counter
 	panics    metrics.Counter
+	avoided   metrics.Counter // idle connections that were not used for a request, as they had carried its id
 	extra     metrics.Counter // responses to other requests that arrived while a request waited for its own
 	queueTime metrics.Timer
 	firstByte metrics.Timer
@@ -31,6 +32,7 @@
 		registry:  r,
 		retries:   metrics.GetOrRegisterCounter("request.repeated", r),
 		panics:    metrics.GetOrRegisterCounter("request.panics", r),
+		avoided:   metrics.GetOrRegisterCounter("connection.avoided", r),
 		extra:     metrics.GetOrRegisterCounter("response.extra", r),
 		queueTime: metrics.GetOrRegisterTimer("request.wait", r),
 		firstByte: metrics.GetOrRegisterTimer("request.first", r),
@@ -74,6 +76,9 @@
 	if x.trace.Conn != 0 {
 		values = append(values, "conn", x.trace.Conn, "carried", x.trace.Carried)
 	}
+	if x.trace.Avoided > 0 {
+		values = append(values, "avoided", x.trace.Avoided)
+	}
 	if x.trace.Extra > 0 {
 		values = append(values, "extra", x.trace.Extra)
 	}
