core/mirror, gateway: a copy carries objects in doubt, which hold back nothing else

Cause: an instance that has regained the store keeps what has vanished for 1.8 s. Meanwhile it gave others its copy from before, of the whole collection, as a newer one that lists the object would have hidden its removal.

A copy now has each object as new as its source has it, and marks what is in doubt: missing as of a revision, and for how long. Whoever follows it keeps the object for the rest of the grace period and removes it then. The removal has the revision as of which the object was missing, so that whoever knows that revision knows the doubt, and needs no message for its end. Getting into doubt counts as a change, so that digests tell it; they have no new field. Nothing is fetched by an instance that knows all changes up to the revision that a digest tells. What a copy lacks without its removal is in doubt where it is known, and others are asked for it.

Instances of the version before do not ask for marks and get the copy from before, as until now. They fetch it in vain, with each digest, until the doubt has ended or, after a list from the store, until the next change. They send no marks, and their copies have nothing in doubt.

Found by the property test, and changed with it: removals of objects that an instance had never known were not passed on, nor those between two lists; an older copy brought an object back whose removal came by a list; an object that was written and removed within one batch of changes came back for a moment; a copy of an instance that was behind passed for complete.

TestDoubtHoldsBackNoOtherChange does not compile before. TestEntryInDoubtHoldsBackNoChange on the commit before: endpoints failed (an instance does not know after 1.2 s that an endpoint leaves), configuration and instances passed, as these collections have no grace period. With this change: all passed. TestCopiesWithDoubts: 60,000 checks passed. TestCopyDoesNotHideRemoval now holds for receivers with and without marks: the first get the newer copy, marked, the others the one from before.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -25,6 +25,24 @@
 // Identified reports whether it is known which object this is. Items of which it is not known must not be applied.
 func (it *Item) Identified() bool { return it.Name != "" && it.Revision > 0 }
 
+// Doubt is an object that a mirror keeps although it is missing in the store, because it may be written again.
+type Doubt struct {
+	Name     string
+	Revision core.Revision // as of which the object is missing
+	Last     core.Revision // of the object's last change that is known to whoever keeps it
+	Since    time.Time     // when it was found to be missing
+}
+
+// Copy is the content of another instance's mirror as of a revision, or the changes to it.
+type Copy struct {
+	Items    []Item // also removals
+	Doubts   []Doubt
+	Revision core.Revision
+	Full     bool          // Items holds all objects
+	Part     bool          // Items may lack changes up to Revision
+	Since    core.Revision // with neither Full nor Part: Items and Doubts hold all changes from Since to Revision
+}
+
 // Options configures a Mirror.
 type Options struct {
 	// Grace is how long an object is kept that is missing after an outage of the store, because it may be written
@@ -47,7 +65,7 @@
 	lastChange core.Revision // revision of the newest change that was applied
 	synced     bool
 	partial    bool          // objects may be missing
-	mergedAt   core.Revision // revision of the newest partial list
+	mergedAt   core.Revision // newest revision of which some changes up to it may be missing, as in a partial list
 	missing    int           // objects that are missing in the store
 	// removals are the latest removals, oldest first, of objects that have not been written again; all of these after completeSince are
 	// among them.
@@ -101,13 +119,21 @@
 			changed = true
 		}
 	}
-	if !m.synced {
-		m.completeSince = rev
+	if rev > m.rev {
+		m.lastChange = max(m.lastChange, rev) // others may know objects that were removed in between
 	}
-	m.rev, m.synced, m.partial = rev, true, false
+	m.completeList(rev)
 	return changed
 }
 
+// completeList records a list of all objects as of a revision. Those that were written and removed since Revision are not known.
+func (m *Mirror) completeList(rev core.Revision) {
+	if rev > m.rev+1 {
+		m.completeSince = max(m.completeSince, rev)
+	}
+	m.rev, m.synced, m.partial = rev, true, false
+}
+
 // Merge applies a list of a part of the objects, or a part of the changes up to a revision, and reports whether anything changed.
 // Objects that are missing in the list are kept, and may have changed.
 func (m *Mirror) Merge(now time.Time, items []Item, rev core.Revision, afterOutage bool) bool {
@@ -119,6 +145,70 @@
 	return changed
 }
 
+// Follow applies another instance's copy, and reports whether an object changed. What is in doubt there is in doubt here for the rest
+// of the grace period. An object that a copy lacks without its removal is in doubt too, and others are asked for it: its
+// instance may have started after the object vanished.
+func (m *Mirror) Follow(now time.Time, c Copy) bool {
+	if c.Full && m.synced && c.Revision < m.rev {
+		return false
+	}
+	changed := !m.synced
+	doubted := make(map[string]bool, len(c.Doubts))
+	for _, d := range c.Doubts {
+		doubted[d.Name] = true
+	}
+	listed := make(map[string]bool, len(c.Items))
+	for _, it := range c.Items {
+		switch {
+		case it.Deleted:
+			// Not as of the copy's revision: its instance may not know that the object was written again.
+			changed = m.apply(now, []Item{it}, it.Revision, false) || changed
+			continue
+		case !doubted[it.Name]:
+			changed = m.upsert(it, max(it.Revision, c.Revision)) || changed
+		case m.items[it.Name] != nil || !m.synced || it.Revision > m.rev:
+			// It was there as of its own revision, but not as of that of the copy.
+			changed = m.upsert(it, it.Revision) || changed
+		}
+		listed[it.Name] = true
+		m.mergedAt = max(m.mergedAt, it.Revision) // above c.Revision if its instance is behind
+	}
+	unexplained := false
+	if !c.Part {
+		for name, e := range m.items {
+			switch {
+			case listed[name] || e.Revision > c.Revision || !c.Full && e.Revision <= c.Since:
+			case m.o.Grace > 0:
+				m.setMissing(e, now, c.Revision)
+				unexplained = true
+			default:
+				m.remove(name, c.Revision)
+				changed = true
+			}
+		}
+	}
+	for _, d := range c.Doubts {
+		e := m.items[d.Name]
+		switch {
+		case e == nil || e.Revision >= d.Revision:
+		case e.Revision > d.Last: // an earlier state of it has been missing since then
+			m.setMissing(e, now, d.Revision)
+		default:
+			m.setMissing(e, d.Since, d.Revision)
+		}
+	}
+	switch {
+	case c.Full && !unexplained:
+		m.completeList(c.Revision)
+	case !m.synced:
+		m.synced, m.completeSince, m.partial = true, c.Revision, true
+	case !c.Full && !c.Part && !unexplained && c.Since <= m.rev:
+		m.rev = max(m.rev, c.Revision)
+	}
+	m.mergedAt = max(m.mergedAt, c.Revision)
+	return changed
+}
+
 // Apply applies all changes from Revision up to a revision, and reports whether anything changed. Newer changes may be among them.
 func (m *Mirror) Apply(now time.Time, items []Item, rev core.Revision, afterOutage bool) bool {
 	changed := m.apply(now, items, rev, afterOutage)
@@ -128,13 +218,29 @@
 
 func (m *Mirror) apply(now time.Time, items []Item, rev core.Revision, afterOutage bool) bool {
 	changed := false
+	// What was superseded within the changes was never there as of their revision.
+	newest := make(map[string]core.Revision, len(items))
+	for _, it := range items {
+		newest[it.Name] = max(newest[it.Name], it.Revision)
+	}
 	for _, it := range items {
+		if it.Revision < newest[it.Name] {
+			continue
+		}
 		if !it.Deleted {
 			changed = m.upsert(it, max(it.Revision, rev)) || changed
 			continue
 		}
 		e := m.items[it.Name]
-		if e == nil || it.Revision < e.Revision {
+		switch {
+		case e == nil && it.Revision > m.rev && afterOutage && m.o.Grace > 0:
+			m.completeSince = max(m.completeSince, it.Revision, rev) // where the object is known, it is in doubt
+			m.lastChange = max(m.lastChange, it.Revision, rev)
+			continue
+		case e == nil && it.Revision > m.rev:
+			m.recordRemoval(it.Name, max(it.Revision, rev)) // others may know the object
+			continue
+		case e == nil || it.Revision < e.Revision:
 			continue
 		}
 		if afterOutage && m.o.Grace > 0 {
@@ -157,39 +263,51 @@
 		}
 		return false
 	}
+	if e == nil && rev < m.rev && it.Revision <= m.rev {
+		return false // its removal may have been unknown here, or is no longer kept
+	}
 	if i := slices.IndexFunc(m.removals, func(r Item) bool { return r.Name == it.Name }); i >= 0 {
 		if rev < m.removals[i].Revision {
 			return false
 		}
 		m.removals = slices.Delete(m.removals, i, i+1)
 	}
+	m.lastChange = max(m.lastChange, it.Revision)
+	if e != nil && rev < e.missingAt {
+		e.Item = it // it is missing all the same
+		return true
+	}
 	m.setPresent(e)
 	m.items[it.Name] = &entry{Item: it}
-	m.lastChange = max(m.lastChange, it.Revision)
 	return true
 }
 
 // HasMissing reports whether the mirror keeps objects that are missing in the store.
 func (m *Mirror) HasMissing() bool { return m.missing > 0 }
 
-// setMissing records that an object is missing in the store as of a revision.
-func (m *Mirror) setMissing(e *entry, now time.Time, rev core.Revision) {
+// setMissing records that an object is missing in the store as of a revision, and was found to be so at a time. It is a change of
+// which others have to learn.
+func (m *Mirror) setMissing(e *entry, since time.Time, rev core.Revision) {
 	if e.missingSince.IsZero() {
-		e.missingSince = now
 		m.missing++
 	}
-	e.missingAt = rev
+	if e.missingSince.IsZero() || since.Before(e.missingSince) {
+		e.missingSince = since
+	}
+	e.missingAt = max(e.missingAt, rev)
+	m.lastChange = max(m.lastChange, rev)
 }
 
 // setPresent records that an object, if there is one, is not missing in the store, or is no longer in the mirror.
 func (m *Mirror) setPresent(e *entry) {
 	if e != nil && !e.missingSince.IsZero() {
-		e.missingSince = time.Time{}
+		e.missingSince, e.missingAt = time.Time{}, 0
 		m.missing--
 	}
 }
 
-// Expire removes objects that have been missing for the grace period, and reports whether there were any.
+// Expire removes objects that have been missing for the grace period, and reports whether there were any. The removal has the revision
+// as of which they are missing: who knows of that revision knows that they are in doubt, and removes them too.
 func (m *Mirror) Expire(now time.Time) bool {
 	if m.missing == 0 {
 		return false
@@ -197,7 +315,7 @@
 	changed := false
 	for name, e := range m.items {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= m.o.Grace {
-			m.remove(name, max(m.rev, e.missingAt))
+			m.remove(name, e.missingAt)
 			changed = true
 		}
 	}
@@ -208,7 +326,16 @@
 func (m *Mirror) remove(name string, rev core.Revision) {
 	m.setPresent(m.items[name])
 	delete(m.items, name)
+	m.recordRemoval(name, rev)
+}
+
+// recordRemoval records the removal of an object that is not in the mirror.
+func (m *Mirror) recordRemoval(name string, rev core.Revision) {
 	m.lastChange = max(m.lastChange, rev)
+	if i := slices.IndexFunc(m.removals, func(r Item) bool { return r.Name == name }); i >= 0 {
+		rev = max(rev, m.removals[i].Revision)
+		m.removals = slices.Delete(m.removals, i, i+1)
+	}
 	m.removals = append(m.removals, Item{Name: name, Revision: rev, Deleted: true})
 	if n := len(m.removals) - maxRemovals; n > 0 {
 		m.completeSince = max(m.completeSince, m.removals[n-1].Revision)
@@ -216,11 +343,6 @@
 	}
 }
 
-// Removals returns the latest removals, and the revision since which they are complete.
-func (m *Mirror) Removals() ([]Item, core.Revision) {
-	return append([]Item(nil), m.removals...), m.completeSince
-}
-
 // Items returns the objects sorted by name. Their bodies must not be changed.
 func (m *Mirror) Items() []Item {
 	out := make([]Item, 0, len(m.items))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -264,54 +264,56 @@
 
 // publishedCopy is the copy of a collection that other instances may fetch.
 type publishedCopy struct {
-	full          *wire.Copy
-	removals      []mirror.Item
-	completeSince int // revision since which removals is complete
+	*mirror.Snapshot
+	// settled is the latest one without doubts, or nil. Instances of the version before ignore marks: a copy that lists objects which are
+	// missing as of its revision would hide their removal from these for good.
+	settled *publishedCopy
 }
 
-// newPublishedCopy returns the content of a mirror for other instances. While the mirror keeps objects that are
-// missing in the store, it returns the previous copy: a copy with a newer revision that still lists these objects would
-// hide their removal from other instances for good.
+// newPublishedCopy returns the content of a mirror for other instances, after a previous one, which may be nil.
 func newPublishedCopy(m *mirror.Mirror, previous *publishedCopy) *publishedCopy {
-	if m.HasMissing() {
-		return previous
-	}
-	items := m.Items()
-	// Copies have a revision above 0; there are no changes up to 1 that one of which nothing is known for sure could hide.
-	w := &wire.Copy{Revision: max(int(m.Revision()), 1), Partial: m.Partial(), Items: make([]wire.Item, 0, len(items))}
-	for _, it := range items {
-		w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
-	}
-	removals, complete := m.Removals()
-	return &publishedCopy{full: w, removals: removals, completeSince: int(complete)}
+	s := &publishedCopy{Snapshot: m.Snapshot()}
+	switch {
+	case len(s.Doubts) == 0:
+		s.settled = s
+	case previous != nil:
+		s.settled = previous.settled
+	}
+	return s
 }
 
-// changesSince returns the changes after a revision, or the full copy if they are not known.
-func (s *publishedCopy) changesSince(since int) wire.Copy {
-	if since == 0 || since < s.completeSince {
-		return *s.full
-	}
-	c := wire.Copy{Revision: s.full.Revision, Partial: true, Items: []wire.Item{}}
-	for _, it := range s.full.Items {
-		if it.Revision > since {
-			c.Items = append(c.Items, it)
+// changesSince returns the changes after a revision, or the full copy if they are not known. marks reports whether the receiver
+// understands objects in doubt, and removals beside a full copy.
+func (s *publishedCopy) changesSince(now time.Time, since core.Revision, marks bool) wire.Copy {
+	c := s.Since(since)
+	// Copies have a revision above 0; there are no changes up to 1 that one of which nothing is known for sure could hide.
+	w := wire.Copy{Revision: max(int(c.Revision), 1), Partial: !c.Full, Items: make([]wire.Item, 0, len(c.Items))}
+	for _, it := range c.Items {
+		switch {
+		case !it.Deleted:
+			w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
+		case marks || !c.Full:
+			w.Gone = append(w.Gone, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: json.RawMessage("null")})
 		}
 	}
-	for _, it := range s.removals {
-		if int(it.Revision) > since {
-			c.Gone = append(c.Gone, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: json.RawMessage("null")})
-		}
+	for _, d := range c.Doubts {
+		w.Missing = append(w.Missing, wire.Doubt{Name: d.Name, Revision: int(d.Revision), Last: int(d.Last), Age: int(now.Sub(d.Since).Milliseconds())})
 	}
-	return c
+	return w
 }
 
 // collectionCopy returns the content of a collection for another instance; see publishedCopy.changesSince.
-func (g *Gateway) collectionCopy(name string, since int) (wire.Copy, bool) {
+func (g *Gateway) collectionCopy(name string, since int, marks bool) (wire.Copy, bool) {
 	for c := range collectionCount {
-		if c.String() == name {
-			if s := g.publishedCopies[c].Load(); s != nil {
-				return s.changesSince(since), true
-			}
+		if c.String() != name {
+			continue
+		}
+		s := g.publishedCopies[c].Load()
+		if s != nil && !marks {
+			s = s.settled
+		}
+		if s != nil {
+			return s.changesSince(time.Now(), core.Revision(since), marks), true
 		}
 	}
 	return wire.Copy{}, false
@@ -355,8 +357,10 @@
 			p.Tick(now)
 		}
 	}
-	if g.mirrors[Endpoints].Expire(now) {
-		g.activate(now, Endpoints, "expiry")
+	for c := range collectionCount {
+		if g.mirrors[c].Expire(now) {
+			g.activate(now, c, "expiry")
+		}
 	}
 	if !g.partsInForce && g.parts.known.Load() {
 		g.partsInForce = true
@@ -406,7 +410,7 @@
 // mirror has no complete list yet. An instance that watches the store first waits for the change from there.
 func (g *Gateway) fetchIfNewer(ctx context.Context, now time.Time, c Collection, m fleet.Member, rev core.Revision) {
 	// Without a complete list, a copy of any revision but 0 is fetched.
-	if rev <= g.mirrors[c].LastChange() && (g.mirrors[c].Synced() || rev == 0) && !g.mayCatchUp(now, c, rev) {
+	if known := max(g.mirrors[c].LastChange(), g.mirrors[c].Revision()); rev <= known && (g.mirrors[c].Synced() || rev == 0) && !g.mayCatchUp(now, c, rev) {
 		return
 	}
 	if g.behindSince[c].IsZero() {
@@ -420,27 +424,20 @@
 		return
 	}
 	address := m.Address
-	since := 0
+	since := core.Revision(0)
 	if g.mirrors[c].Synced() {
-		since = int(g.mirrors[c].Revision())
+		since = g.mirrors[c].Revision()
 	}
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
-		u := update{collection: c, complete: true, source: string(m.Name)}
-		w, err := g.mesh.FetchCopy(ctx, address, c.String(), since)
+		u := update{collection: c, source: string(m.Name)}
+		w, err := g.mesh.FetchCopy(ctx, address, c.String(), int(since))
 		if err != nil {
 			g.log.Info("cannot fetch copy", "collection", c.String(), "from", m.Name, "cause", err.Error())
 			sleep(ctx, fetchRetryDelay/2+rand.N(fetchRetryDelay))
 		} else {
-			u.rev, u.since, u.list = core.Revision(w.Revision), core.Revision(since), since == 0
-			u.complete, u.part = !w.Partial, w.Partial && u.list
-			for _, it := range w.Items {
-				u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Body: it.Body})
-			}
-			for _, it := range w.Gone {
-				u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Deleted: true})
-			}
+			u = decodeCopy(time.Now(), c, u.source, since, w)
 		}
 		select {
 		case g.updates <- u:
@@ -451,7 +448,7 @@
 
 // applyUpdate applies changes of a collection.
 func (g *Gateway) applyUpdate(now time.Time, u update) {
-	if u.source != "store" {
+	if u.source != storeSource {
 		g.fetches[u.collection].end(core.InstanceID(u.source))
 		g.behindSince[u.collection] = time.Time{}
 		if u.rev == 0 { // the copy could not be fetched
@@ -459,20 +456,50 @@
 		}
 	}
 	m := g.mirrors[u.collection]
+	last := m.LastChange()
+	// A process that has just started has not seen the outage that the marks of others show.
+	u.afterOutage = u.afterOutage || u.source == storeSource && m.HasMissing() && now.Sub(g.start) < recoveryPeriod
 	changed := u.apply(now, m, g.identified(u))
 	g.revisions[u.collection].Store(int64(m.Revision()))
-	if changed {
+	switch {
+	case changed:
 		g.behindSince[u.collection] = time.Time{}
 		g.activate(now, u.collection, u.source)
 		g.fleet.Hasten()
+	case m.LastChange() > last: // objects that are in doubt
+		g.publish(u.collection)
+		g.fleet.Hasten()
 	}
 }
 
+// decodeCopy converts another instance's copy, or the changes after a revision. The time that it took to arrive is added to the grace
+// period of objects in doubt.
+func decodeCopy(now time.Time, c Collection, source string, since core.Revision, w wire.Copy) update {
+	u := update{collection: c, source: source, rev: core.Revision(w.Revision), since: since, list: since == 0, complete: !w.Partial}
+	u.part = w.Partial && u.list
+	for _, it := range w.Items {
+		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Body: it.Body})
+	}
+	for _, it := range w.Gone {
+		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Deleted: true})
+	}
+	for _, d := range w.Missing {
+		age := min(max(milliseconds(d.Age), 0), endpointGrace)
+		u.doubts = append(u.doubts, mirror.Doubt{Name: d.Name, Revision: core.Revision(d.Revision), Last: core.Revision(d.Last), Since: now.Add(-age)})
+	}
+	return u
+}
+
+// publish makes the content of a collection available to other instances.
+func (g *Gateway) publish(c Collection) {
+	g.publishedCopies[c].Store(newPublishedCopy(g.mirrors[c], g.publishedCopies[c].Load()))
+}
+
 // activate puts the content of a collection into force and publishes it for other instances.
 func (g *Gateway) activate(now time.Time, c Collection, source string) {
 	m := g.mirrors[c]
 	items := m.Items()
-	g.publishedCopies[c].Store(newPublishedCopy(m, g.publishedCopies[c].Load()))
+	g.publish(c)
 	switch c {
 	case Configurations:
 		g.activateConfiguration(now, items, source)
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -41,22 +41,28 @@
 // maxPause returns the longest pause between two watches of a collection.
 func maxPause(c Collection) time.Duration { return batchPause[c] * 3 / 2 }
 
+// storeSource is the source of updates from the store.
+const storeSource = "store"
+
 // update holds changes of a collection, from the store or another instance.
 type update struct {
 	collection  Collection
 	items       []mirror.Item
+	doubts      []mirror.Doubt // of another instance's copy
 	rev         core.Revision
 	list        bool          // items holds a list, with or without changes
 	complete    bool          // items holds all objects
 	part        bool          // items lacks some of the changes up to rev
 	since       core.Revision // with neither complete nor part: items holds all changes from since to rev
 	afterOutage bool          // the store was unavailable shortly before
-	source      string        // "store", or the name of the instance whose copy was fetched
+	source      string        // storeSource, or the name of the instance whose copy was fetched
 }
 
 // apply applies an update, of which items are those that can be identified, to the mirror of its collection.
 func (u *update) apply(now time.Time, m *mirror.Mirror, items []mirror.Item) bool {
 	switch {
+	case u.source != storeSource:
+		return m.Follow(now, mirror.Copy{Items: items, Doubts: u.doubts, Revision: u.rev, Full: u.complete, Part: u.part, Since: u.since})
 	case u.complete:
 		return m.Replace(now, items, u.rev, u.afterOutage)
 	case u.part || u.since > m.Revision():
@@ -172,7 +178,7 @@
 
 // read returns changes of the collection, or a list of its objects, and how long the store was asked to wait for changes.
 func (w *storeWatcher) read(ctx context.Context) (u update, wait time.Duration, err error) {
-	u = update{collection: w.collection, source: "store", part: true}
+	u = update{collection: w.collection, source: storeSource, part: true}
 	if w.hasBaseline {
 		wait = w.watchDuration(time.Now())
 		w.watch.called(w.collection, wait)
--- a/io/mesh/decode.go
+++ b/io/mesh/decode.go
@@ -28,6 +28,10 @@
 		if c.Gone, ok = decodeItems(fields["gone"]); !ok && fields["gone"] != nil {
 			return c, err
 		}
+		// Without its marks, a copy would pass objects in doubt for objects in the store.
+		if fields["missing"] != nil && json.Unmarshal(fields["missing"], &c.Missing) != nil {
+			return c, err
+		}
 	}
 	if c.Revision <= 0 {
 		return c, errors.New("no revision")
--- a/io/mesh/decode_test.go
+++ b/io/mesh/decode_test.go
@@ -32,7 +32,7 @@
 				fmt.Fprintf(w, `{"revision":9,"partial":true,"items":[{"name":"a","revision":5,"body":{}},%s,{"name":"z","revision":7,"body":{}}],"gone":[{"name":"g","revision":8,"body":null}]}`, c.item)
 			}))
 			defer s.Close()
-			m, _ := listen(t, func(string, int) (wire.Copy, bool) { return wire.Copy{}, false })
+			m, _ := listen(t, func(string, int, bool) (wire.Copy, bool) { return wire.Copy{}, false })
 			got, err := m.FetchCopy(context.Background(), s.Listener.Addr().String(), "endpoints", 1)
 			g.Expect(err).ToNot(HaveOccurred())
 			g.Expect(got.Revision).To(Equal(9))
@@ -56,7 +56,7 @@
 	for _, text := range []string{``, `{}`, `null`, `{"revision":9,"items":[`, `{"revision":9,"items":[tru]`, `{"revision":1e30,"items":[]}`, `{"revision":9,"items":5}`, `{"revision":9,"items":[tru],"gone":5}`, `{"revision":9,"items":[tru],"partial":1}`, `{"revision":0,"items":[]}`} {
 		g := NewWithT(t)
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, text) }))
-		m, _ := listen(t, func(string, int) (wire.Copy, bool) { return wire.Copy{}, false })
+		m, _ := listen(t, func(string, int, bool) (wire.Copy, bool) { return wire.Copy{}, false })
 		_, err := m.FetchCopy(context.Background(), s.Listener.Addr().String(), "endpoints", 0)
 		g.Expect(err).To(HaveOccurred(), text)
 		s.Close()
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -39,8 +39,8 @@
 	// OnDigest is called with each digest that is received, one at a time.
 	OnDigest func(d mesh.Digest)
 	// Copy returns this instance's copy of a collection, or only the changes after a revision. ok is false if there is no
-	// copy.
-	Copy func(collection string, after int) (c mesh.Copy, ok bool)
+	// copy. marks is false for receivers that would take objects in doubt for objects in the store.
+	Copy func(collection string, after int, marks bool) (c mesh.Copy, ok bool)
 	// OnError is called with errors of single messages and with an error to set the receive buffer.
 	OnError func(err error)
 }
@@ -115,7 +115,7 @@
 	}
 }
 
-// serveCopy handles GET /copy/{collection}?after=REVISION.
+// serveCopy handles GET /copy/{collection}?after=REVISION&marks=1. Instances of the version before do not ask for marks.
 func (m *Mesh) serveCopy(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.FormValue("after"))
 	if err != nil {
@@ -129,7 +129,7 @@
 		http.Error(w, "too many transfers", http.StatusServiceUnavailable)
 		return
 	}
-	c, ok := m.o.Copy(r.PathValue("collection"), after)
+	c, ok := m.o.Copy(r.PathValue("collection"), after, r.FormValue("marks") == "1")
 	if !ok {
 		http.Error(w, "no copy", http.StatusNotFound)
 		return
@@ -160,7 +160,7 @@
 // FetchCopy fetches another instance's copy of a collection, or only the changes after a revision.
 func (m *Mesh) FetchCopy(ctx context.Context, address, collection string, after int) (mesh.Copy, error) {
 	var c mesh.Copy
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/copy/"+collection+"?after="+strconv.Itoa(after), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/copy/"+collection+"?marks=1&after="+strconv.Itoa(after), nil)
 	if err != nil {
 		return c, errors.WithStack(err)
 	}
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -22,7 +22,7 @@
 			g := NewWithT(t)
 			m, err := mesh.Listen(mesh.Options{
 				Address: "127.0.0.1:0", OnError: func(error) {}, OnDigest: func(wire.Digest) {},
-				Copy: func(string, int) (wire.Copy, bool) { return wire.Copy{}, false },
+				Copy: func(string, int, bool) (wire.Copy, bool) { return wire.Copy{}, false },
 			})
 			g.Expect(err).ToNot(HaveOccurred())
 			defer m.Close()
--- a/io/mesh/transfers_test.go
+++ b/io/mesh/transfers_test.go
@@ -16,7 +16,7 @@
 )
 
 // listen starts a mesh that serves copies, and returns it with its address.
-func listen(t *testing.T, serve func(collection string, after int) (wire.Copy, bool)) (*mesh.Mesh, string) {
+func listen(t *testing.T, serve func(collection string, after int, marks bool) (wire.Copy, bool)) (*mesh.Mesh, string) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).ToNot(HaveOccurred())
@@ -41,7 +41,7 @@
 	}
 	body, err := json.Marshal(routes)
 	g.Expect(err).ToNot(HaveOccurred())
-	m, address := listen(t, func(string, int) (wire.Copy, bool) {
+	m, address := listen(t, func(string, int, bool) (wire.Copy, bool) {
 		return wire.Copy{Revision: 7, Items: []wire.Item{{Name: "main", Revision: 7, Body: body}}}, true
 	})
 
@@ -65,7 +65,7 @@
 func TestTransfersAreLimited(t *testing.T) {
 	g := NewWithT(t)
 	release := make(chan struct{})
-	m, address := listen(t, func(_ string, after int) (wire.Copy, bool) {
+	m, address := listen(t, func(_ string, after int, _ bool) (wire.Copy, bool) {
 		if after > 0 {
 			<-release // a transfer that takes long
 		}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -7,7 +7,8 @@
 // Copy is an instance's copy of a collection as of Revision. If Partial, Items are
 // those that changed after the revision that was asked for, and Gone those that
 // were removed; if none was asked for, Items are those that the instance could
-// read.
+// read. Missing are objects that the instance keeps although the store lacks them,
+// as they may be written again.
 type Copy struct {
 	// Gone corresponds to the JSON schema field "gone".
 	Gone []Item `json:"gone,omitempty,omitzero"`
@@ -15,6 +16,9 @@
 	// Items corresponds to the JSON schema field "items".
 	Items []Item `json:"items"`
 
+	// Missing corresponds to the JSON schema field "missing".
+	Missing []Doubt `json:"missing,omitempty,omitzero"`
+
 	// Partial corresponds to the JSON schema field "partial".
 	Partial bool `json:"partial,omitempty,omitzero"`
 
@@ -114,6 +118,23 @@
 
 type DigestUsed map[string]float64
 
+// Doubt is an object that is missing in the store as of Revision. Last is the
+// revision of its last change that the instance knows. Age is the number of
+// milliseconds since this was found.
+type Doubt struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Last corresponds to the JSON schema field "last".
+	Last int `json:"last"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision int `json:"revision"`
+}
+
 // Item is an object of a collection. Body is its content as it stands in the
 // store.
 type Item struct {
