gateway: a late write of an endpoint's earlier entry does not undo its leaving

Requests were sent to an endpoint that had reported that it leaves, after the store had executed an earlier write of its entry late (a remark of the review).

Cause: of an entry, only the store's revision was looked at. The users' page says that a call without a response may be executed seconds later, that seq counts anew with each start, and that born tells starts apart. An entry with the same born and a lower seq is an earlier one of the same process. It is ignored where it would make a leaving endpoint ready; in all else the store's word counts, as an entry may have been written by anybody.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -24,6 +24,14 @@
 	Leaving bool // shutting down; gets no new requests
 	// Incarnation distinguishes restarts under the same id; 0 if unknown.
 	Incarnation int64
+	// Sequence is the number of the entry within the incarnation.
+	Sequence int64
+}
+
+// Undoes reports whether an entry is older than another one of the same process that reported that it leaves. The store may execute a
+// write seconds late, and a process that leaves does not return.
+func (e *Endpoint) Undoes(leaving *Endpoint) bool {
+	return leaving.Leaving && !e.Leaving && e.Incarnation != 0 && e.Incarnation == leaving.Incarnation && e.Sequence < leaving.Sequence
 }
 
 // Request describes a request that needs an endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,10 +115,11 @@
 	forward           []wire.Summary          // to be passed on within the data centre
 	pools             map[route.Service]*pool.Pool
 	table             *route.Table
-	skipped           [collectionCount]skipped   // entries that could not be decoded
-	unidentified      [collectionCount]skipped   // entries of the last list of which it is not known which object they are
-	behindSince       [collectionCount]time.Time // since when another instance has a newer revision; zero if none has
-	fetches           [collectionCount]fetches   // of copies from other instances, in progress
+	entries           map[core.EndpointID]pool.Endpoint // that can be decoded, as in force
+	skipped           [collectionCount]skipped          // entries that could not be decoded
+	unidentified      [collectionCount]skipped          // entries of the last list of which it is not known which object they are
+	behindSince       [collectionCount]time.Time        // since when another instance has a newer revision; zero if none has
+	fetches           [collectionCount]fetches          // of copies from other instances, in progress
 	stated            watchStatement
 	digestNumber      int
 	lastTick          time.Time
@@ -562,6 +563,7 @@
 func (g *Gateway) activateEndpoints(now time.Time, items []mirror.Item, source string) {
 	lists := map[route.Service][]pool.Endpoint{}
 	addresses := map[string]bool{}
+	entries := make(map[core.EndpointID]pool.Endpoint, len(items))
 	leaving := 0
 	var odd skipped
 	for _, it := range items {
@@ -570,12 +572,17 @@
 			odd.add(it, err.Error())
 			continue
 		}
+		if previous := g.entries[e.ID]; e.Undoes(&previous) {
+			e = previous
+		}
+		entries[e.ID] = e
 		lists[s] = append(lists[s], e)
 		addresses[e.Address] = true
 		if e.Leaving {
 			leaving++
 		}
 	}
+	g.entries = entries
 	g.skipped[Endpoints].replace(g.log, Endpoints, odd)
 	for s := range lists {
 		if g.pools[s] == nil {
