--- a/io/mesh/decode_test.go
+++ b/io/mesh/decode_test.go
@@ -53,7 +53,7 @@
 
 // Guards against taking a copy that is no complete one for an empty one, which removes everything.
 func TestBrokenCopy(t *testing.T) {
-	for _, text := range []string{``, `{}`, `null`, `{"revision":9,"items":[`, `{"revision":9,"items":[tru]`, `{"revision":1e30,"items":[]}`, `{"revision":9,"items":5}`, `{"revision":9,"items":[tru],"gone":5}`, `{"revision":9,"items":[tru],"partial":1}`, `{"revision":0,"items":[]}`} {
+	for _, text := range []string{``, `{}`, `null`, `{"revision":9,"items":[`, `{"revision":9,"items":[tru]`, `{"revision":1e30,"items":[]}`, `{"revision":9,"items":5}`, `{"revision":9,"items":[tru],"gone":5}`, `{"revision":9,"items":[tru],"partial":1}`, `{"revision":9,"items":[],"missing":5}`, `{"revision":0,"items":[]}`} {
 		g := NewWithT(t)
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, text) }))
 		m, _ := listen(t, func(string, int, bool) (wire.Copy, bool) { return wire.Copy{}, false })
