io/proxy: the kind of a route that is in force now decides on repeats, too

Cause: an exchange kept the route of its arrival, and decided on repeats, standbys and resumed streams by that alone.

Before each repeat, each standby, and each send of a request that may have run, the stricter of two kinds holds: that of the arrival, and that of the route that matches the request now. A request that may have run is then answered 502, not refused. First sends look nothing up.

The guard on the send of a standby whose connection is being opened has no test.

newTestExchange in io/proxy gets a configuration without routes, as the exchange now asks for the present one.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -41,6 +41,7 @@
 	errNoEvents           = errors.New("connection ended before the first event of a stream")
 	errUnknownEnd         = errors.New("connection ended, and the endpoint did not state whether the stream is complete")
 	errEndpointClosed     = errors.New("endpoint leaves or asked to wait")
+	errRunOnce            = errors.New("request may have run, and its route does not allow another run any more")
 	errUnprovenRefusal    = errors.New("refusal of an endpoint that does not state that the request did not run")
 	errTooLarge           = errors.New("response or event is too large to buffer")
 )
@@ -157,6 +158,9 @@
 			if err := a.maySend(); err != nil {
 				return err
 			}
+			if a.mayBeSecondRun() && !x.retryable() {
+				return errRunOnce
+			}
 			beforeSend()
 			now := time.Now()
 			a.sentAt.Store(&now)
@@ -165,6 +169,9 @@
 	})
 }
 
+// mayBeSecondRun reports whether the request may have run, or may run now, at another endpoint. That of a standby always may.
+func (a *attempt) mayBeSecondRun() bool { return a.wasStandby() || a.x.possibleRuns > 0 }
+
 // sinceSent returns how long ago the request was sent; 0 if it was not.
 func (a *attempt) sinceSent(now time.Time) time.Duration {
 	if at := a.sentAt.Load(); at != nil {
@@ -188,6 +195,8 @@
 	switch {
 	case !a.sent() && errors.Is(a.err, errEndpointClosed):
 		return pool.Cancelled, "endpoint leaves or waits", true
+	case !a.sent() && errors.Is(a.err, errRunOnce):
+		return pool.Cancelled, "route allows one run", true
 	case !a.sent() && (a.ctx.Err() != nil || errors.Is(a.err, peerconn.ErrClosed) || errors.Is(a.err, errDeadline)):
 		return pool.Cancelled, "endpoint unreachable", true
 	case !a.sent() && isTimeout(a.err):
@@ -328,6 +337,8 @@
 	case stopped:
 		x.recordQuarantine(part)
 		return x.failOrRefuse(quarantineReason, quarantine.RetryAfter), false
+	case x.possibleRuns > 0 && !x.retryable():
+		return x.failOrRefuse(reason, shortRetryAfter), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.failOrRefuse("deadline", shortRetryAfter), false
 	case x.possibleRuns >= x.route.Attempts && !a.canReturn():
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -605,9 +605,19 @@
 	return req
 }
 
+// retryable reports whether the request may be sent again after it may have run: by the route that it arrived on, and by the one that
+// matches it now.
+func (x *exchange) retryable() bool {
+	if !x.route.Retryable() {
+		return false
+	}
+	now, ok := x.handler.o.Config().Table.Match(x.r.Host, x.r.URL.EscapedPath())
+	return !ok || now.Retryable()
+}
+
 // mayRunAgain reports whether the attempts of the route, or an endpoint that was given up, allow another run.
 func (x *exchange) mayRunAgain() bool {
-	return x.route.Retryable() && !x.notResumable && (x.possibleRuns < x.route.Attempts || len(x.givenUp) > 0)
+	return x.retryable() && !x.notResumable && (x.possibleRuns < x.route.Attempts || len(x.givenUp) > 0)
 }
 
 // takeRetry takes a retry from the budget of the service and reports whether there was one left.
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -146,7 +146,7 @@
 	if _, ok := x.quarantined(); ok {
 		return 0
 	}
-	if p.req.Deadline.Sub(now) < minTimeForRetry || !p.mayRunElsewhere(x.route) {
+	if p.req.Deadline.Sub(now) < minTimeForRetry || !p.mayRunElsewhere(x.route) || !x.retryable() {
 		return 0
 	}
 	p.req.Only, p.req.Returning = nil, false
--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -126,8 +126,12 @@
 	p.SetEndpoints(time.Now(), []pool.Endpoint{{ID: "e1", Slots: 1}, {ID: "e2", Slots: 1}})
 	w := httptest.NewRecorder()
 	return p, &exchange{
-		handler: New(Options{Headers: fixedHeaders{}, Log: logr.Discard(), Metrics: metrics.NewRegistry(), Budgets: anyRetries{}}), pool: p,
-		w: w, rc: http.NewResponseController(w), r: httptest.NewRequest(http.MethodGet, "/", nil),
+		handler: New(Options{
+			Headers: fixedHeaders{}, Log: logr.Discard(), Metrics: metrics.NewRegistry(), Budgets: anyRetries{},
+			Config: func() Config { return Config{Table: route.New(route.Options{})} },
+		}),
+		pool: p,
+		w:    w, rc: http.NewResponseController(w), r: httptest.NewRequest(http.MethodGet, "/", nil),
 		route: &route.Route{Kind: route.Idempotent, Attempts: 2}, deadline: time.Now().Add(time.Minute),
 	}
 }
