--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -29,6 +29,7 @@
 	instance string
 	status   int // 0 without a response
 	retry    time.Duration
+	refused  []period // earlier sends of the request, which were said not to have run
 	framing  framing.Framing
 	signed   bool
 	body     string
@@ -67,6 +68,9 @@
 		}
 		timeout := between(r, 300*time.Millisecond, maxTimeout)
 		o := w.call(c, i, path, fmt.Sprintf("%s-%d-%d", home, n, k), timeout)
+		if w.copies != nil {
+			o = w.repeat(ctx, c, r, o, timeout)
+		}
 		w.record(o)
 		if o.status == 0 { // nobody listens, or the connection broke
 			time.Sleep(20 * time.Millisecond)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -122,7 +122,7 @@
 		defer w.leaves[n].begin()()
 		w.register(n, "draining")
 		time.Sleep(length / 2)
-		w.store.Delete("servers", w.endpoints[n].ID)
+		w.store.Delete("servers", w.endpoints[n].CurrentID())
 		time.Sleep(length / 2)
 		w.register(n, "ready")
 	case 11:
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -144,6 +144,7 @@
 	silent, longWork int           // weights of requests at which a sound endpoint is silent, and of those that take seconds
 	calm             bool          // callers pause between requests at times, and leave an instance that does not serve them
 	slowStart        bool          // streams take some time until their first event
+	copies           *copies       // nil if endpoints send no refusal once more
 	dir              string
 	store            *fake.Store
 	endpoints        []*fake.Endpoint
@@ -156,6 +157,7 @@
 	ignoreStandstills bool
 
 	mu         sync.Mutex
+	services   [endpoints]string
 	versions   []version // of the configuration, in order
 	outcomes   []outcome
 	violations []string
@@ -227,6 +229,7 @@
 // open starts the store of a world with a first configuration, and returns a function that ends it.
 func (w *world) open() (end func()) {
 	w.store, w.hostile, w.started = fake.NewStore(), make([]float64, endpoints), time.Now()
+	w.services = [endpoints]string{"s", "s", "s", "s", "t", "t"}
 	w.first, w.faulty, w.own = map[string]int{}, w.random("responses"), &ownStandstills
 	var err error
 	w.dir, err = os.MkdirTemp("", "soak")
@@ -297,9 +300,12 @@
 
 // register writes the entry of an endpoint, whose address is that of its link.
 func (w *world) register(n int, state string) {
-	entry := w.endpoints[n].Entry([]string{"s", "t"}[n/4], state, w.slots)
+	w.mu.Lock()
+	service := w.services[n]
+	w.mu.Unlock()
+	entry := w.endpoints[n].Entry(service, state, w.slots)
 	entry["addr"] = w.links[n].address()
-	w.store.Put("servers", w.endpoints[n].ID, entry)
+	w.store.Put("servers", w.endpoints[n].CurrentID(), entry)
 }
 
 // version is a version of the configuration.
@@ -350,6 +356,9 @@
 func (w *world) behaviour(n int, req *http.Request) fake.Behaviour {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.copies != nil {
+		return w.copies.behaviour(n)
+	}
 	id, path := fake.RequestID(req), req.URL.Path
 	r, share := w.faulty, w.hostile[n]
 	first, known := w.first[id]
@@ -467,7 +476,7 @@
 		checkTimes := func() string {
 			return cmp.Or(w.checkSound(&o, works[o.id]), w.checkStop(&o, works[o.id]), w.checkOverlap(&o, works[o.id]))
 		}
-		reason := cmp.Or(o.check(runs[o.id]), tooEarly, checkTimes())
+		reason := cmp.Or(o.check(runs[o.id]), o.checkRefused(works[o.id]), tooEarly, checkTimes())
 		if reason == "" {
 			w.ignoreStandstills = true
 			if excused := checkTimes(); excused != "" {
@@ -479,6 +488,7 @@
 			w.violation("request %s to %s %s:\n%s%s", o.id, o.path, reason, w.describe(&o, works[o.id]), w.logLines(`"`+o.id+`"`))
 		}
 	}
+	w.checkCopies()
 	// Without this, a soak in which nothing is served would find nothing.
 	if served*4 < reached {
 		w.violation("only %d of %d requests that reached an instance were served", served, reached)
--- a/test/soak/sound_test.go
+++ b/test/soak/sound_test.go
@@ -90,7 +90,7 @@
 // isSound reports whether an endpoint was to do nothing that is a fault.
 func (s work) isSound() bool {
 	b := s.Behaviour
-	return b == fake.Behaviour{Events: b.Events, Delay: b.Delay, Pause: b.Pause, PauseAfter: b.PauseAfter}
+	return b == fake.Behaviour{Events: b.Events, Delay: b.Delay, Pause: b.Pause, PauseAfter: b.PauseAfter, Copy: b.Copy, CopyLate: b.CopyLate}
 }
 
 // soundEnd returns when work would have ended at the latest if nobody had cut it off, and the longest time without an event. ok is
