--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -137,7 +137,7 @@
 	number    uint64
 	carried   carried.IDs
 	peer      Peer          // of the first request
-	peers     bool          // there were requests for other peers
+	mixed     bool          // it has carried requests for more than one peer
 	responses int           // number of responses read, without the informational ones
 	r         *bufio.Reader // reads from Conn through headerLimiter
 	limiter   *headerLimiter
@@ -219,8 +219,8 @@
 	if len(cn.carried) == 0 {
 		cn.peer = r.Peer
 	}
-	cn.peers = cn.peers || cn.peer != r.Peer
-	r.Trace.Conn, r.Trace.Carried, r.Trace.MultiplePeers = cn.number, len(cn.carried), cn.peers
+	cn.mixed = cn.mixed || cn.peer != r.Peer
+	r.Trace.Conn, r.Trace.Carried, r.Trace.MultiplePeers = cn.number, len(cn.carried), cn.mixed
 	cn.carried.Add(carried.Hash(string(r.ID)))
 	resp := &Response{Reused: reused, ctx: ctx, client: c, conn: cn, address: address, written: make(chan error, 1)}
 	// The goroutine that reads the response may be late, or be writing to a slow caller.
