--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -29,17 +29,8 @@
 	// arrival. It is a fraction of the objectives, which are 0.25 to 0.8 s, so that no rank starves. 0.3 s gave worse
 	// service on scale days.
 	rankDelay = 100 * time.Millisecond
-	// lateWaitShare is the part of the time from arrival to deadline after which a late request that is still queued is
-	// refused. With a fifth or more, callers waited longer and were refused all the same.
-	lateWaitShare = 0.1
 	// scoreSpreadMicros bounds, in microseconds, the part of a score that differs by instance.
 	scoreSpreadMicros = 2000
-	// minRetryAfter and maxRetryAfter bound the result of retryAfter. minRetryAfter is also used for refusals for which
-	// no time is estimated.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
-	// returnSpread is the ratio of the longest to the shortest Retry-After of callers that wait for the same time.
-	returnSpread = 1.25
 )
 
 // enqueue inserts a ticket into the queue in the order of precedes.
@@ -122,25 +113,6 @@
 	}
 }
 
-// missesObjective reports whether a request would miss its objective even at the fastest available endpoint. Its wait in
-// the queue is estimated as onTimeBefore times the mean interval between completions. If no endpoint is available, only
-// this wait counts.
-func (p *Pool) missesObjective(now time.Time, t *Ticket, onTimeBefore int) bool {
-	if t.req.Objective.IsZero() {
-		return false
-	}
-	fastest := time.Duration(-1)
-	for _, e := range p.orderedEndpoints {
-		if e.available(now) {
-			if f, _ := p.model.predict(now, e, &t.req); fastest < 0 || f < fastest {
-				fastest = f
-			}
-		}
-	}
-	wait := time.Duration(float64(onTimeBefore) * p.completionInterval.mean.value)
-	return now.Add(wait + max(fastest, 0)).After(t.req.Objective)
-}
-
 // decide returns a grant, a refusal, or nil if the request stays in the queue.
 func (p *Pool) decide(now time.Time, t *Ticket) Decision {
 	if !now.Before(t.req.Deadline) {
@@ -162,9 +134,9 @@
 		if !usable || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		c := candidate{endpointState: e, freeInReports: e.Slots - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		c := candidate{endpointState: e, freeInReports: e.capacity() - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
-			c.freeInReports, c.netReleased = max(e.Slots-e.ownRunning, 0), 0
+			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning, 0), 0
 		}
 		if t.req.Returning && c.freeInReports+c.netReleased <= 0 {
 			c.freeInReports, c.netReleased = 1, 0
@@ -189,16 +161,8 @@
 	if chosen != nil && (candidateSlots > p.moreUrgentAtPeers(t.req.Tier) || t.req.Retried) {
 		return p.grant(now, chosen, t)
 	}
-	if !listed && !t.req.Begun { // for a stream that broke off, an endpoint may be listed in time
-		return Refusal{RetryAfter: minRetryAfter, Reason: "no endpoint"}
-	}
-	if end, ok := p.waitEnd(now, exclude); ok && !t.canWaitUntil(end) {
-		return Refusal{RetryAfter: p.spread(end.Sub(now)), Reason: "endpoints wait"}
-	}
-	if t.late && !t.req.Begun { // waits only for a part of the time from arrival to deadline
-		if now.Sub(t.req.Arrived) > time.Duration(lateWaitShare*float64(t.req.Deadline.Sub(t.req.Arrived))) {
-			return Refusal{RetryAfter: p.retryAfter(), Reason: "overload"}
-		}
+	if r, refused := p.refuse(now, t, listed, exclude); refused {
+		return r
 	}
 	return nil
 }
@@ -212,20 +176,6 @@
 	})
 }
 
-// canWaitUntil reports whether a request can wait in the queue until a time at which an endpoint accepts requests again: it
-// can still be on time then, or its caller is receiving the response already.
-func (t *Ticket) canWaitUntil(end time.Time) bool {
-	if t.req.Begun {
-		return end.Before(t.req.Deadline)
-	}
-	return end.Before(t.req.Objective)
-}
-
-// spread returns a time from d to returnSpread times d, so that callers that are refused together return one by one.
-func (p *Pool) spread(d time.Duration) time.Duration {
-	return max(time.Duration((1+(returnSpread-1)*p.rng.Float64())*float64(d)), minRetryAfter)
-}
-
 // candidate is an endpoint that a request may be sent to.
 type candidate struct {
 	*endpointState
@@ -339,15 +289,6 @@
 	return g
 }
 
-// retryAfter estimates the time in which the queued requests and one more are completed, from the mean interval between
-// completions.
-func (p *Pool) retryAfter() time.Duration {
-	if p.completionInterval.mean.n == 0 {
-		return minRetryAfter
-	}
-	return min(max(time.Duration(p.completionInterval.mean.value*float64(len(p.queue)+1)), minRetryAfter), maxRetryAfter)
-}
-
 // Free returns the number of free slots and of all slots of the available endpoints.
 func (p *Pool) Free(now time.Time) (free, slots int) {
 	p.mu.Lock()
@@ -362,7 +303,7 @@
 	for _, e := range p.orderedEndpoints {
 		if e.available(now) {
 			s.Free += max(e.freeSlots(), 0)
-			s.Slots += e.Slots
+			s.Slots += e.capacity()
 		}
 	}
 	for _, pr := range p.peers {
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -102,8 +102,11 @@
 	return e.pendingPrompt + e.peerLoad.pendingPrompt
 }
 
+// capacity returns the number of requests that the endpoint is to work on at once.
+func (e *endpointState) capacity() int { return e.Slots }
+
 // freeSlots returns the number of slots that no known request uses.
-func (e *endpointState) freeSlots() int { return e.Slots - e.totalRunning() }
+func (e *endpointState) freeSlots() int { return e.capacity() - e.totalRunning() }
 
 // available reports whether the endpoint may get a request now. After a suspension it gets one request at a time, the
 // probe, until one succeeds. The exception is the suspension after Moved, which is not counted and needs no probe.
