--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -28,6 +28,7 @@
 	"monsoondale/common/carried"
 	"monsoondale/common/dial"
 	"monsoondale/common/framing"
+	"monsoondale/common/status"
 	"monsoondale/core"
 )
 
@@ -49,9 +50,9 @@
 	// nonIdempotentMaxIdle is how long a connection may have been idle to be used for a request that is not idempotent. If
 	// the endpoint closes an idle connection while such a request is in flight, it is unknown whether the request ran.
 	nonIdempotentMaxIdle = 300 * time.Millisecond
-	// maxResponsesRead is the number of responses, the informational ones and those to other requests included, that are
-	// read before the connection is closed.
-	maxResponsesRead = 4
+	// maxResponsesRead is the number of responses, the interim ones and those to other requests included, that are read before the
+	// connection is closed.
+	maxResponsesRead = 1 + status.MaxInterim
 	// readBufferBytes is the size of the read buffer of a connection; an event of a stream has a few hundred bytes.
 	readBufferBytes = 4 << 10
 	// maxHeaderBytes is the size of the largest response header, with the status line.
@@ -251,7 +252,12 @@
 			}
 			return nil, errors.Wrap(err, "read response")
 		}
-		if hr.StatusCode < 200 {
+		interim, err := status.Check(hr.StatusCode, hr.Header)
+		if err != nil {
+			resp.Close()
+			return nil, err
+		}
+		if interim {
 			continue
 		}
 		id := hr.Header.Get(c.o.RequestIDHeader)
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -17,6 +17,7 @@
 	"github.com/samber/lo"
 	"github.com/tmaxmax/go-sse"
 
+	"monsoondale/common/status"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/internal/testhook"
@@ -110,7 +111,10 @@
 	defer idleTimer.Stop()
 
 	resp, err := c.rt.Do(ctx, permit, q)
-	if err != nil {
+	switch {
+	case errors.Is(err, status.ErrUndefined) && q.Method != http.MethodGet: // not a resume, whose errors have no code
+		return core.Errorf(core.CodeEngineError, "%v", err)
+	case err != nil:
 		return err
 	}
 	idleTimer.Stop()
--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -11,6 +11,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"sync"
 	"time"
@@ -20,6 +22,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"monsoondale/common/carried"
+	"monsoondale/common/status"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/internal/testhook"
@@ -156,11 +159,15 @@
 	}
 	first := len(cn.carried) == 0
 	cn.carried.Add(carried.Hash(string(r.ID)))
-	resp, err := cn.RoundTrip(r.httpRequest(ctx))
+	resp, err := cn.RoundTrip(r.httpRequest(withInterimCheck(ctx)))
 	if err != nil {
 		cn.Close()
 		return nil, err
 	}
+	if _, err := status.Check(resp.StatusCode, resp.Header); err != nil {
+		cn.Close()
+		return nil, err
+	}
 	id := core.RequestID(resp.Header.Get(RequestIDHeader))
 	switch {
 	case id == r.ID:
@@ -186,6 +193,18 @@
 	return resp, nil
 }
 
+// withInterimCheck returns a context for a request that fails at interim responses which are none, or too many.
+func withInterimCheck(ctx context.Context) context.Context {
+	n := 0
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		if n++; n > status.MaxInterim {
+			return errors.Wrapf(status.ErrUndefined, "%d interim responses", n)
+		}
+		_, err := status.Check(code, http.Header(h))
+		return err
+	}})
+}
+
 // connection returns a connection for the request. A *dialError means that there is none.
 func (c *Client) connection(ctx context.Context, r Request) (*conn, error) {
 	if !r.DedicatedConn {
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"monsoondale/common/framing"
+	"monsoondale/common/status"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
 	"monsoondale/io/internal/roundtrip"
@@ -55,13 +56,13 @@
 	resp, err := c.rt.Do(ctx, permit, roundtrip.Request{
 		ID: q.Request, Method: q.Method, Address: address, Path: q.Path, Query: q.Query, Header: header, Body: q.Body, DedicatedConn: q.NonIdempotent,
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, status.ErrUndefined):
+		return dispatch.Reply{}, core.Errorf(core.CodeServiceRejected, "%v", err)
+	case err != nil:
 		return dispatch.Reply{}, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode < 200 {
-		return dispatch.Reply{}, core.Errorf(core.CodeServiceRejected, "status %d", resp.StatusCode)
-	}
 	if resp.Header.Get(roundtrip.RequestIDHeader) == "" {
 		return dispatch.Reply{}, core.Errorf(core.CodeWrongAnswer, "answer names no request")
 	}
