--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"monsoondale/common/carried"
+	"monsoondale/common/resets"
 	"monsoondale/common/status"
 	"monsoondale/core"
 	"monsoondale/core/dispatch"
@@ -70,7 +71,10 @@
 				if err != nil && errors.As(err, &op) && op.Op == "dial" {
 					return nil, &dialError{op}
 				}
-				return c, err
+				if err != nil {
+					return nil, err
+				}
+				return &resets.Conn{Conn: c}, nil
 			},
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: 32 << 10,
