--- a/test/soak/start_test.go
+++ b/test/soak/start_test.go
@@ -57,3 +57,24 @@
 	g.Expect(cmd.ProcessState.Sys().(syscall.WaitStatus).Signal()).To(Equal(syscall.SIGHUP))
 	g.Expect(w.violations).To(BeEmpty())
 }
+
+// Guards against excusing a process that ended by itself although its settings were complete in time.
+func TestSettingsIncomplete(t *testing.T) {
+	start := time.Now()
+	for _, c := range []struct {
+		name     string
+		from, to time.Duration // of the write, after the start
+		want     bool
+	}{
+		{"all the time", -time.Second, 2 * time.Second, true},
+		{"complete just before the process gives up", -time.Second, settingsPatience - time.Millisecond, false},
+		{"begun after the start", time.Millisecond, time.Second, false},
+		{"before the start", -time.Second, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := &instance{}
+			i.writes.add(period{start.Add(c.from), start.Add(c.to)})
+			NewWithT(t).Expect(i.settingsIncomplete(start)).To(Equal(c.want))
+		})
+	}
+}
