--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -53,6 +53,9 @@
 		return t.req.Tier < u.req.Tier
 	}
 	if t.late {
+		if t.due != u.due {
+			return t.due
+		}
 		// Newest first, because the caller of the newest request will wait the longest before it gives up. With oldest
 		// first, callers would be served shortly before they give up, and each later one would wait as long.
 		return t.req.Arrived.After(u.req.Arrived)
@@ -60,9 +63,9 @@
 	return t.effectiveArrival().Before(u.effectiveArrival())
 }
 
-// effectiveArrival is the time by which requests of one tier are ordered: the arrival plus a delay for the rank.
+// effectiveArrival is the time by which requests of one tier are ordered: the caller's first arrival plus a delay for the rank.
 func (t *Ticket) effectiveArrival() time.Time {
-	return t.req.Arrived.Add(time.Duration(t.req.Rank) * rankDelay)
+	return t.req.Arrived.Add(-t.req.Waited).Add(time.Duration(t.req.Rank) * rankDelay)
 }
 
 // remove deletes a ticket from the queue.
@@ -82,13 +85,14 @@
 		p.sumPeerLoads(now)
 	}
 	p.unreportedRequests = -1
+	p.admission.drain = p.drainRate(now)
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
 	for _, t := range p.queue {
 		switch decision := p.decide(now, t); d := decision.(type) {
 		case nil:
-			if !t.late && p.missesObjective(now, t, onTimeBefore) {
+			if !t.late && p.missesObjective(now, t, onTimeBefore) && !p.keepsPromise(now, t) {
 				t.late = true
 				newlyLate = append(newlyLate, t)
 				continue
@@ -102,6 +106,8 @@
 			t.closed = true
 			t.Decided <- d
 		case *Grant:
+			p.recordWait(now, t, 0)
+			t.recordRefused(false)
 			t.closed = true
 			t.Decided <- d
 		}
@@ -111,6 +117,7 @@
 	for _, t := range newlyLate {
 		p.enqueue(t)
 	}
+	p.refuseLate(now, onTimeBefore)
 }
 
 // decide returns a grant, a refusal, or nil if the request stays in the queue.
@@ -226,7 +233,7 @@
 // readsWithoutPause reports whether a request can still be on time, and some endpoint can read its prompt without a long pause of
 // its streams, at least once slots are free there. The request then waits for such an endpoint.
 func (p *Pool) readsWithoutPause(now time.Time, t *Ticket) bool {
-	if t.late || t.req.Retried || t.req.GapObjective <= 0 {
+	if t.late || t.req.Retried || t.req.GapObjective <= 0 || !t.req.Objective.IsZero() && now.Add(p.fastestFirst(now, &t.req)).After(t.req.Objective) {
 		return false
 	}
 	for _, e := range p.orderedEndpoints {
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -29,6 +29,7 @@
 	total, ontime, late, refused, abandoned int
 	rejected, broken                        int           // attempts with that outcome, each followed by another
 	longestRefusedWait                      time.Duration // longest time from arrival to refusal
+	attempts                                []attempt     // only of workloads with a patience
 }
 
 type event struct {
@@ -83,6 +84,7 @@
 	absentUntil   time.Duration
 	// slowdowns are the relative service times, assigned to the engines in rotation; higher is slower.
 	slowdowns []float64
+	callers   map[string]callers // by workload; callers of others do not return
 }
 
 const (
@@ -176,6 +178,7 @@
 		Tier: 1, Rank: w.rank, Prompt: w.prompt, MaxOutput: core.Tokens(simulatedEventTokens * max(1, int(float64(w.events)*s.rng.ExpFloat64()))),
 		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter),
 	}
+	s.callers[w.name].prepare(s, &req)
 	s.poll(w, p, p.Submit(s.now, req), req)
 }
 
@@ -188,6 +191,7 @@
 		r := s.results[w.name]
 		r.refused++
 		r.longestRefusedWait = max(r.longestRefusedWait, s.now.Sub(req.Arrived))
+		s.refused(w, req, d)
 	default:
 		s.after(time.Millisecond, func() { s.poll(w, p, t, req) })
 	}
@@ -215,7 +219,8 @@
 		s.after(first, func() {
 			p.RecordLoad(s.now, granted, pool.StatedLoad{Running: s.running[id], Waiting: len(s.waiting[id]), Slots: s.slots})
 			p.RecordFirstEvent(s.now, granted)
-			took := s.now.Sub(req.Arrived)
+			took := s.now.Sub(req.Arrived) + waited(&req)
+			s.served(w, req, took)
 			switch {
 			case took <= w.objective:
 				r.ontime++
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -120,20 +120,3 @@
 	_, s := m.coefficients()
 	return time.Duration(e.stated.value(now) * e.slowdown * s * float64(prompt) / 2)
 }
-
-// completionIntervalWeight is the weight of the newest interval in the mean of an intervalAverage, which covers about 20
-// intervals.
-const completionIntervalWeight = 0.05
-
-// intervalAverage is the exponentially weighted mean time between calls of add, in nanoseconds.
-type intervalAverage struct {
-	last time.Time
-	mean average
-}
-
-func (a *intervalAverage) add(now time.Time) {
-	if !a.last.IsZero() {
-		a.mean.add(float64(now.Sub(a.last)), completionIntervalWeight)
-	}
-	a.last = now
-}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -42,6 +42,9 @@
 	MaxOutput core.Tokens // upper bound; 0 if the request does not state it
 	// Arrived is the time at which the request had been read completely.
 	Arrived time.Time
+	// Waited is how long before Arrived the caller began to wait, if it was turned away and has returned. It counts for the order
+	// of the queue; Objective is to allow for it too.
+	Waited time.Duration
 	// Objective is the latest time at which the response, or the first event of a stream, counts as on time. Zero for
 	// none.
 	Objective time.Time
@@ -73,8 +76,8 @@
 // Decision is the result of scheduling a request: a *Grant or a Refusal.
 type Decision interface{ decision() }
 
-// Refusal is the decision not to serve a request. RetryAfter is the estimated time in which the queued requests are
-// completed, within bounds, or a short fixed time if the reason is not an overload.
+// Refusal is the decision not to serve a request. RetryAfter is the time in which a place is expected for it, within bounds, or
+// a short fixed time if the reason is not an overload.
 type Refusal struct {
 	RetryAfter time.Duration
 	Reason     string
@@ -154,7 +157,12 @@
 	Decided chan Decision
 	req     Request
 	late    bool // the request can no longer be on time
-	closed  bool // decided or withdrawn; no longer in the queue
+	// expectedWait is the wait in the queue that was predicted on arrival; below 0 until then.
+	expectedWait time.Duration
+	kind         *kindStats // may be nil
+	due          bool       // its caller returns in the time that it was told
+	promised     bool       // it goes before others for that, although it is late
+	closed       bool       // decided or withdrawn; no longer in the queue
 	// spare marks a request that another endpoint is working on, so that it is not refused if it gets none.
 	spare bool
 }
@@ -193,7 +201,7 @@
 	peerServiceTime    average       // seconds from grant to completion at the other instances
 	remotePenalty      time.Duration // see minRemotePenalty
 	model              latencyModel
-	completionInterval intervalAverage
+	admission          admission
 	samples            []Sample          // since the last report
 	centreSamples      []Sample          // of the data centre, since its last report
 	failures           []core.EndpointID // since the last report
@@ -260,7 +268,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.meanPrompt.add(float64(t.req.Prompt), requestWeight)
-	t.Decided = make(chan Decision, 1)
+	p.admission.recordArrival(now, t)
+	t.Decided, t.expectedWait = make(chan Decision, 1), -1
 	p.enqueue(t)
 	p.assign(now)
 	return t
@@ -396,7 +405,6 @@
 		p.failures = append(p.failures, e.ID)
 	}
 	if o == Served || o == ServerError {
-		p.completionInterval.add(now)
 		p.serviceTime.add(float64(now.Sub(g.sent)), requestWeight)
 	}
 	p.assign(now)
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -146,6 +146,7 @@
 	stats          stats
 	memory         bodyMemory
 	probes         crashProbes
+	timeouts       routeTimeouts
 }
 
 // New returns a Handler.
@@ -202,7 +203,8 @@
 	quotaUsed, quotaAllowed float64
 
 	arrived, deadline time.Time
-	objective         time.Time
+	objective         time.Time     // counted from the caller's first attempt
+	waited            time.Duration // how long the caller has waited before this attempt
 
 	sends           int               // number of times the request was sent to an endpoint
 	possibleRuns    int               // number of endpoints that may have run it
@@ -449,8 +451,9 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	x.waited = x.handler.timeouts.waited(x.route.Name, x.info.Timeout)
 	if x.route.Objective > 0 {
-		x.objective = x.arrived.Add(x.route.Objective)
+		x.objective = x.arrived.Add(x.route.Objective - x.waited)
 	}
 }
 
@@ -595,7 +598,7 @@
 // poolRequest returns the request as the pool sees it.
 func (x *exchange) poolRequest() pool.Request {
 	req := pool.Request{
-		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
+		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived, Waited: x.waited,
 		Rank: int(x.route.Tier), Objective: x.objective, GapObjective: x.route.GapObjective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
 		Stream: x.route.Kind == route.Stream, Retried: x.sends > 0, Begun: x.headerWritten,
 	}
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -10,6 +10,7 @@
 
 	"monsoondale/common/framing"
 	"monsoondale/core"
+	"monsoondale/core/pool"
 	"monsoondale/core/route"
 )
 
@@ -23,6 +24,8 @@
 	queueTime metrics.Timer
 	firstByte metrics.Timer
 	total     metrics.Timer
+	refusal   metrics.Timer   // from arrival to a refusal because of an overload
+	returned  metrics.Counter // requests whose callers have waited before
 	overlap   metrics.Timer   // for which two endpoints worked on a request
 	overlong  metrics.Counter // overlaps of handover.OverlapBound and more
 }
@@ -37,6 +40,8 @@
 		queueTime: metrics.GetOrRegisterTimer("request.wait", r),
 		firstByte: metrics.GetOrRegisterTimer("request.first", r),
 		total:     metrics.GetOrRegisterTimer("request.whole", r),
+		refusal:   metrics.GetOrRegisterTimer("request.refused", r),
+		returned:  metrics.GetOrRegisterCounter("request.returned", r),
 		overlap:   metrics.GetOrRegisterTimer("standby.overlap", r),
 		overlong:  metrics.GetOrRegisterCounter("standby.overlong", r),
 	}
@@ -55,6 +60,9 @@
 	metrics.GetOrRegisterCounter("request.status."+strconv.Itoa(r.status), s.registry).Inc(1)
 	s.queueTime.Update(x.queueTime)
 	s.total.Update(now.Sub(x.arrived))
+	if r.reason == pool.Overload && r.status == http.StatusServiceUnavailable {
+		s.refusal.Update(now.Sub(x.arrived))
+	}
 	values := []any{
 		"request", x.info.ID, "status", r.status, "reason", r.reason, "total", milliseconds(now.Sub(x.arrived)),
 	}
@@ -95,6 +103,10 @@
 		values = append(values, "wait", milliseconds(x.queueTime), "waiting", x.poolState.Waiting, "free", x.poolState.Free, "slots", x.poolState.Slots,
 			"peers", x.poolState.Peers, "age", milliseconds(x.poolState.ReportAge))
 	}
+	if x.waited > 0 {
+		s.returned.Inc(1)
+		values = append(values, "waited", milliseconds(x.waited))
+	}
 	if x.retryAfter > 0 {
 		values = append(values, "retry", milliseconds(x.retryAfter))
 	}
