--- a/core/pool/admission.go
+++ b/core/pool/admission.go
@@ -27,6 +27,8 @@
 	// toldStep and toldSteps are the resolution and the length of what is kept of the times that callers were told.
 	toldStep  = 100 * time.Millisecond
 	toldSteps = 128
+	// maxExcess bounds the result of excess.
+	maxExcess = 4
 	// maxKinds bounds the kinds of requests of which means are kept.
 	maxKinds = 64
 	// minRecordedWait is the predicted wait from which on waits are compared with it. minWaitRatio and maxWaitRatio bound the ratio,
@@ -68,7 +70,9 @@
 // admission is what predictions of the wait of requests are based on.
 type admission struct {
 	arrivals rate
-	late     rate // late requests that got a slot
+	granted  rate // requests that got a slot
+	late     rate // late requests among them
+	refused  rate // requests that were refused because of an overload
 	kinds    map[kind]*kindStats
 	drain    float64 // see drainRate; as of the present call of assign
 	// away is the number of callers that were turned away and for which no place has become free since, at awayAt.
@@ -182,8 +186,11 @@
 // recordWait records the wait of a request that gets a slot, or that is refused although a slot was expected in time; rest is how much longer it
 // would have waited.
 func (p *Pool) recordWait(now time.Time, t *Ticket, rest time.Duration) {
-	if t.late && rest == 0 {
-		p.admission.late.add(now)
+	if rest == 0 {
+		p.admission.granted.add(now)
+		if t.late {
+			p.admission.late.add(now)
+		}
 	}
 	if t.expectedWait < minRecordedWait {
 		return
@@ -239,6 +246,7 @@
 			t.Decided <- g
 			continue
 		}
+		p.admission.refused.add(now)
 		t.Decided <- Refusal{RetryAfter: p.retryAfter(now, ahead, p.spareRate(now, onTime)), Reason: Overload, State: p.state(now)}
 	}
 	clear(p.queue[len(kept):])
@@ -318,6 +326,16 @@
 	return max(share*(drain-demand)-float64(queued)/arrivalSpan.Seconds(), share*minSpareShare*drain, p.admission.late.perSecond(now))
 }
 
+// excess returns how many requests arrive here for each that gets a slot, from 1 to maxExcess. Those in excess are refused, but would get
+// slots that become free suddenly.
+func (a *admission) excess(now time.Time) float64 {
+	granted := a.granted.perSecond(now)
+	if granted <= 0 {
+		return 1
+	}
+	return min(1+a.refused.perSecond(now)/granted, maxExcess)
+}
+
 // demandAtPeers returns the requests a second of the other instances.
 func (p *Pool) demandAtPeers() float64 {
 	rate := 0.0
--- a/core/pool/admission_test.go
+++ b/core/pool/admission_test.go
@@ -156,11 +156,6 @@
 	return func(s float64) float64 { return v * (1 + part*math.Sin(2*math.Pi*s/period)) }
 }
 
-// scale returns a rate times a factor.
-func scale(f func(float64) float64, x float64) func(float64) float64 {
-	return func(s float64) float64 { return f(s) * x }
-}
-
 // streams returns three kinds of streams that need about all places of admissionCluster at a factor of 1.
 func streams(load func(v float64) func(float64) float64) []workload {
 	return []workload{
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -306,14 +306,15 @@
 }
 
 // unreported estimates how many requests of other instances hold a slot, or will take the next free one, without being
-// listed as running in the last reports: the requests sent since the report, at the recent rate of the instance, and
+// listed as running in the last reports: the requests sent since the report, at the recent rate of the instance and as many more as are
+// refused here, and
 // those that were queued at the time of the report. If the mean service time is shorter than the age of a report, only
 // that fraction of them is still running.
 func (p *Pool) unreported(now time.Time) int {
-	n := 0.0
+	n, excess := 0.0, p.admission.excess(now)
 	for _, pr := range p.peers {
 		age := max(now.Sub(pr.at), time.Millisecond)
-		m := pr.rate.value*age.Seconds() + float64(pr.queued)
+		m := excess*pr.rate.value*age.Seconds() + float64(pr.queued)
 		n += m * min(1, p.serviceTime.value/float64(age))
 	}
 	return min(int(n), maxUnreported)
