io/proxy: a response that its endpoint cuts off since a slow caller did not read it is not the endpoint's failure

Such cuts counted as failures of the endpoint, here and at other instances, and could suspend it. TestEndpointCutsOffSlowCaller fails before. What is held for a slow caller is one event and the server's buffer, and others are not delayed: TestSlowCallerBesideOthers passes before, too.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -68,6 +68,7 @@
 	begun    time.Time // when the first bytes of the body were read; zero if none were
 	// servedRecorded is set once the endpoint is known not to crash under the request.
 	servedRecorded bool
+	unread         bool // its response was not read for a while, as the caller had not read what came before
 	trial          bool // it is sent in spite of the quarantined parts of its prompt
 }
 
@@ -420,6 +421,9 @@
 		return x.respondError(http.StatusBadGateway, "out of memory"), false
 	}
 	a.outcome = pool.Broken
+	if a.unread && isConnectionEnd(err) { // the caller's fault
+		a.outcome = pool.Cancelled
+	}
 	if errors.Is(err, errUnknownEnd) { // not known to be the endpoint's fault
 		a.outcome = pool.Served
 	}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -18,6 +18,9 @@
 	streamBufferBytes = 2 << 10
 	// maxEventBytes is the size of the largest event that is relayed; an event has a few hundred bytes.
 	maxEventBytes = 64 << 10
+	// slowWrite is the time that a write to a slow caller takes from which on an endpoint may cut off the response, as nothing of it is
+	// read meanwhile.
+	slowWrite = time.Second
 )
 
 // errMissingEvent reports that a stream ended without an event of which another endpoint had sent a part.
@@ -78,9 +81,11 @@
 			if !a.keepsRequest() {
 				return a.handleFailedAttempt(errNoResponse)
 			}
+			written := time.Now()
 			if writeErr := a.writeEvents(buf[:completeLen]); writeErr != nil {
 				return x.endForWriteError(writeErr), false
 			}
+			a.unread = time.Since(written) >= slowWrite
 			x.lastEventID = events.lastID
 			x.notResumable = x.notResumable || events.unnumbered > 0
 			// Bytes that complete no event are no progress.
