--- a/core/pool/admission.go
+++ b/core/pool/admission.go
@@ -27,6 +27,14 @@
 	// toldStep and toldSteps are the resolution and the length of what is kept of the times that callers were told.
 	toldStep  = 100 * time.Millisecond
 	toldSteps = 128
+	// usualSpan is the time that the usual rate of a workspace covers. Beyond maxGrowth times the growth of all, the predicted wait counts for
+	// more, at most maxSurge times as much; below minSurgeRate requests a second, the growth is not known well enough.
+	usualSpan    = time.Minute
+	maxGrowth    = 1.25
+	maxSurge     = 4
+	minSurgeRate = 4
+	// maxWorkspaces bounds the workspaces whose growth is kept.
+	maxWorkspaces = 1024
 	// maxExcess bounds the result of excess.
 	maxExcess = 4
 	// maxKinds bounds the kinds of requests of which means are kept.
@@ -74,7 +82,10 @@
 	late     rate // late requests among them
 	refused  rate // requests that were refused because of an overload
 	kinds    map[kind]*kindStats
-	drain    float64 // see drainRate; as of the present call of assign
+	// workspaces has the growth of each workspace, all that of all together.
+	workspaces map[core.WorkspaceID]*growth
+	all        growth
+	drain      float64 // see drainRate; as of the present call of assign
 	// away is the number of callers that were turned away and for which no place has become free since, at awayAt.
 	away   float64
 	awayAt time.Time
@@ -116,21 +127,62 @@
 
 // rate is an exponentially weighted number of events per second.
 type rate struct {
-	value float64
-	at    time.Time // of the last event
+	value       float64
+	first, last time.Time
 }
 
-func (r *rate) add(now time.Time) {
-	r.value = r.perSecond(now) + 1/arrivalSpan.Seconds()
-	r.at = now
+// addOver records an event. span is the time that the rate covers.
+func (r *rate) addOver(now time.Time, span time.Duration) {
+	if r.first.IsZero() {
+		r.first = now
+	}
+	r.value, r.last = r.over(now, span)+1/span.Seconds(), now
 }
 
-// perSecond returns the rate at a time.
-func (r *rate) perSecond(now time.Time) float64 {
-	if r.at.IsZero() {
-		return 0
+// over returns the rate over the last span.
+func (r *rate) over(now time.Time, span time.Duration) float64 {
+	return r.value * math.Exp(-float64(now.Sub(r.last))/float64(span))
+}
+
+func (r *rate) add(now time.Time) { r.addOver(now, arrivalSpan) }
+
+func (r *rate) perSecond(now time.Time) float64 { return r.over(now, arrivalSpan) }
+
+// growth compares the rate of requests with the usual one.
+type growth struct{ recent, usual rate }
+
+func (w *growth) add(now time.Time) {
+	w.recent.add(now)
+	w.usual.addOver(now, usualSpan)
+}
+
+// factor returns how many times the usual rate requests arrive.
+func (w *growth) factor(now time.Time) float64 {
+	covered := 1 - math.Exp(-float64(now.Sub(w.usual.first))/float64(usualSpan)) // less than 1 until it has been learned
+	return w.recent.perSecond(now) * covered / w.usual.over(now, usualSpan)
+}
+
+// surge returns by how much the requests of a workspace have grown more than all, as far as that is beyond maxGrowth; from 1 to maxSurge.
+func (a *admission) surge(now time.Time, id core.WorkspaceID) float64 {
+	w := a.workspaces[id]
+	if w == nil || w.recent.perSecond(now) < minSurgeRate {
+		return 1
+	}
+	return min(max(w.factor(now)/a.all.factor(now)/maxGrowth, 1), maxSurge)
+}
+
+// recordWorkspace records a request of a workspace.
+func (a *admission) recordWorkspace(now time.Time, id core.WorkspaceID) {
+	a.all.add(now)
+	w := a.workspaces[id]
+	if w == nil {
+		if a.workspaces == nil || len(a.workspaces) >= maxWorkspaces { // those that have left are not kept for ever
+			a.workspaces = map[core.WorkspaceID]*growth{}
+		}
+		w = &growth{}
+		a.workspaces[id] = w
 	}
-	return r.value * math.Exp(-float64(now.Sub(r.at))/float64(arrivalSpan))
+	w.add(now)
 }
 
 // recordArrival records a request that enters the queue for the first time.
@@ -141,6 +193,9 @@
 		return
 	}
 	a.arrivals.add(now)
+	if t.req.Workspace != "" {
+		a.recordWorkspace(now, t.req.Workspace)
+	}
 	if k := t.kind; k != nil {
 		k.prompt.add(float64(t.req.Prompt), requestWeight)
 	}
@@ -247,7 +302,9 @@
 			continue
 		}
 		p.admission.refused.add(now)
-		t.Decided <- Refusal{RetryAfter: p.retryAfter(now, ahead, p.spareRate(now, onTime)), Reason: Overload, State: p.state(now)}
+		state := p.state(now)
+		state.PredictedWait = max(t.expectedWait, 0)
+		t.Decided <- Refusal{RetryAfter: p.retryAfter(now, ahead, p.spareRate(now, onTime)), Reason: Overload, State: state}
 	}
 	clear(p.queue[len(kept):])
 	p.queue = kept
@@ -359,7 +416,7 @@
 	case t.expectedWait < 0:
 		t.expectedWait = wait
 		if k := t.kind; k != nil {
-			wait = time.Duration(float64(wait) * k.waitRatio.value * (arrivalMargin + refusalGain*p.admission.refusalGap(&t.req, k)))
+			wait = time.Duration(float64(wait) * k.waitRatio.value * p.admission.surge(now, t.req.Workspace) * (arrivalMargin + refusalGain*p.admission.refusalGap(&t.req, k)))
 			k.waitRatio.value += waitRatioDecay * (1 - k.waitRatio.value)
 		}
 	default:
--- a/core/pool/admission_test.go
+++ b/core/pool/admission_test.go
@@ -15,11 +15,12 @@
 
 // callers is how the callers of a workload behave; the zero value are callers that do not return.
 type callers struct {
-	patience time.Duration // from the first attempt; callers that are refused return once within it
-	abusive  float64       // share of callers that return three times, without waiting
-	sized    bool          // prompts differ in length: a tenth is three times as long
-	tier     core.Tier     // more than 1
-	plain    bool          // one response instead of a stream
+	patience  time.Duration // from the first attempt; callers that are refused return once within it
+	abusive   float64       // share of callers that return three times, without waiting
+	sized     bool          // prompts differ in length: a tenth is three times as long
+	tier      core.Tier     // more than 1
+	workspace core.WorkspaceID
+	plain     bool // one response instead of a stream
 }
 
 // attempt is the end of one attempt of a caller.
@@ -47,6 +48,7 @@
 	if c.tier > 0 {
 		req.Tier = c.tier
 	}
+	req.Workspace = c.workspace
 	if c.plain {
 		req.MaxOutput = simulatedEventTokens
 	}
@@ -285,3 +287,26 @@
 		grant(g, p.Submit(now, request(1, now)))
 	}
 }
+
+// One of four workspaces sends ten times as many requests as usual. Guards against refusing those of the others as often.
+func TestWorkspaceWithTenTimesItsLoad(t *testing.T) {
+	g := NewWithT(t)
+	f := admissionCluster()
+	f.callers = map[string]callers{}
+	var loads []workload
+	for i, name := range []string{"surge", "b", "c", "d"} {
+		f.callers[name] = callers{patience: 12 * time.Second, workspace: core.WorkspaceID(name)}
+		loads = append(loads, workload{name, 1, 1800, 20, 400 * time.Millisecond, constant(22)})
+		if i == 0 {
+			loads[0].rate = burst(22, 10, 30, 40)
+		}
+	}
+	r := simulate(31, f, 40*time.Second, loads...)
+	surge := tallyOf(r["surge"], 400*time.Millisecond, all)
+	t.Logf("surge %s", surge)
+	for _, w := range loads[1:] {
+		k := tallyOf(r[w.name], w.objective, all)
+		t.Logf("%-5s %s", w.name, k)
+		g.Expect(k.unserved()).To(BeNumerically("<=", surge.unserved()/2), w.name)
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -38,6 +38,7 @@
 type Request struct {
 	ID        core.RequestID
 	Tier      core.Tier
+	Workspace core.WorkspaceID // empty if there is none
 	Prompt    core.Tokens
 	MaxOutput core.Tokens // upper bound; 0 if the request does not state it
 	// Arrived is the time at which the request had been read completely.
@@ -90,6 +91,8 @@
 	Free    int // slots of available endpoints that no known request uses
 	Slots   int // slots of available endpoints
 	Peers   int // other instances with a valid report
+	// PredictedWait is the time in the queue that was predicted on arrival for a request that is refused because of an overload.
+	PredictedWait time.Duration
 	// ReportAge is the age of the oldest of these reports.
 	ReportAge time.Duration
 }
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -602,6 +602,9 @@
 		Rank: int(x.route.Tier), Objective: x.objective, GapObjective: x.route.GapObjective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
 		Stream: x.route.Kind == route.Stream, Retried: x.sends > 0, Begun: x.headerWritten,
 	}
+	if x.workspace != nil {
+		req.Workspace = x.workspace.ID
+	}
 	if x.possibleRuns >= x.route.Attempts {
 		req.Only, req.Returning = slices.Clone(x.givenUp), len(x.givenUp) > 0
 	}
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -103,6 +103,9 @@
 		values = append(values, "wait", milliseconds(x.queueTime), "waiting", x.poolState.Waiting, "free", x.poolState.Free, "slots", x.poolState.Slots,
 			"peers", x.poolState.Peers, "age", milliseconds(x.poolState.ReportAge))
 	}
+	if x.poolState.PredictedWait > 0 {
+		values = append(values, "predicted", milliseconds(x.poolState.PredictedWait))
+	}
 	if x.waited > 0 {
 		s.returned.Inc(1)
 		values = append(values, "waited", milliseconds(x.waited))
