--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -86,7 +86,11 @@
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
 	for _, t := range p.queue {
-		switch decision := p.decide(now, t); d := decision.(type) {
+		decide := p.decide
+		if t.ask != nil {
+			decide = p.decideAsk
+		}
+		switch d := decide(now, t).(type) {
 		case nil:
 			if !t.late && p.missesObjective(now, t, onTimeBefore) {
 				t.late = true
@@ -99,11 +103,9 @@
 			kept = append(kept, t)
 		case Refusal:
 			d.State = p.state(now)
-			t.closed = true
-			t.Decided <- d
-		case *Grant:
-			t.closed = true
-			t.Decided <- d
+			p.end(t, d)
+		default:
+			p.end(t, d)
 		}
 	}
 	clear(p.queue[len(kept):])
@@ -113,6 +115,17 @@
 	}
 }
 
+// end passes a decision on to the one that waits for it.
+func (p *Pool) end(t *Ticket, d Decision) {
+	t.closed = true
+	if t.ask == nil {
+		t.Decided <- d
+		return
+	}
+	p.decidedAsks = append(p.decidedAsks, DecidedAsk{*t.ask, d})
+	p.o.Places.AskDecided()
+}
+
 // decide returns a grant, a refusal, or nil if the request stays in the queue.
 func (p *Pool) decide(now time.Time, t *Ticket) Decision {
 	if !now.Before(t.req.Deadline) {
@@ -134,9 +147,9 @@
 		if !usable || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		c := candidate{endpointState: e, freeInReports: e.capacity() - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		c := candidate{endpointState: e, freeInReports: e.capacity() - e.lent - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
-			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning, 0), 0
+			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning-e.lent, 0), 0
 		}
 		if t.req.Returning && c.freeInReports+c.netReleased <= 0 {
 			c.freeInReports, c.netReleased = 1, 0
@@ -284,6 +297,10 @@
 	if e.consecutiveSuspensions > 0 {
 		g.probe, e.probing = true, true
 	}
+	if t.ask != nil && !t.ask.Own {
+		p.lend(t.ask, g)
+		return g
+	}
 	e.ownRunning++
 	e.pendingPrompt += t.req.Prompt
 	return g
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -63,7 +63,12 @@
 	ownRunning      int         // requests of this instance
 	pendingPrompt   core.Tokens // prompt tokens of this instance's requests without a first event
 	peerLoad        peerLoad
-	reportedRunning int // value of ownRunning in this instance's last report
+	reportedRunning int         // value of ownRunning in this instance's last report
+	lent            int         // requests of others under grants of this instance, which peerLoad lacks
+	lentPrompt      core.Tokens // prompt tokens of these without a first event
+	keeper          KeeperID    // that has granted the last place here to this instance; 0 if none has
+	kept            int         // requests of this instance under its grants
+	hash            uint64      // of the id
 	scoreOffset     time.Duration
 
 	stated        slowness
@@ -95,11 +100,11 @@
 func (e *endpointState) accepts(now time.Time) bool { return !e.leaving() && !e.notice.closed(now) }
 
 // totalRunning returns the number of requests of all instances.
-func (e *endpointState) totalRunning() int { return e.ownRunning + e.peerLoad.running }
+func (e *endpointState) totalRunning() int { return e.ownRunning + e.lent + e.peerLoad.running }
 
 // promptBacklog returns the prompt tokens of all instances' requests without a first event.
 func (e *endpointState) promptBacklog() core.Tokens {
-	return e.pendingPrompt + e.peerLoad.pendingPrompt
+	return e.pendingPrompt + e.lentPrompt + e.peerLoad.pendingPrompt
 }
 
 // capacity returns the number of requests that the endpoint is to work on at once.
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -43,7 +43,8 @@
 	sameCentre bool
 	loads      []Load // one per endpoint, by id
 	queued     int    // sum of waiting and late
-	running    int    // requests at listed endpoints, when the loads were last summed
+	running    int    // requests at listed endpoints, when the loads were last summed, without those in lent
+	lent       int    // requests at places that this instance has lent
 	waiting    []int
 	late       int
 	rate       average // first events per second, of which a report has at most maxReportEntries
@@ -54,6 +55,41 @@
 	Endpoint      core.EndpointID
 	Running       int
 	PendingPrompt core.Tokens // prompt tokens of requests without a first event
+	// Kept of the running requests are under grants of a keeper.
+	Kept   int
+	Keeper KeeperID
+
+	lent int // of them, those that this instance counts as lent
+}
+
+// add returns the sum of two loads of one endpoint. Of two keepers, the one that has granted more is kept.
+func (l Load) add(m Load) Load {
+	sum := Load{Endpoint: m.Endpoint, Running: l.Running + m.Running, PendingPrompt: l.PendingPrompt + m.PendingPrompt, Kept: l.Kept, Keeper: l.Keeper}
+	switch {
+	case l.Keeper == m.Keeper:
+		sum.Kept += m.Kept
+	case m.Kept > l.Kept:
+		sum.Kept, sum.Keeper = m.Kept, m.Keeper
+	}
+	return sum
+}
+
+// uncountedPrompt returns the part of PendingPrompt that does not belong to lent places. The report does not tell them apart, and the
+// keeper knows sooner when a response begins.
+func (l *Load) uncountedPrompt() core.Tokens {
+	if l.Running <= 0 {
+		return 0
+	}
+	return l.PendingPrompt * core.Tokens(l.Running-l.lent) / core.Tokens(l.Running)
+}
+
+// ownLoad returns the load of this instance at an endpoint.
+func (e *endpointState) ownLoad() Load {
+	l := Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt, Kept: e.kept}
+	if e.kept > 0 {
+		l.Keeper = e.keeper
+	}
+	return l
 }
 
 // Sample is a measured time to the first event. PromptBacklog is the number of prompt tokens that the endpoint had to
@@ -98,7 +134,7 @@
 	loads := map[core.EndpointID]Load{}
 	for _, e := range p.orderedEndpoints {
 		if e.ownRunning > 0 {
-			loads[e.ID] = Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt}
+			loads[e.ID] = e.ownLoad()
 		}
 	}
 	reports := 1
@@ -116,7 +152,7 @@
 		}
 		for _, l := range pr.loads {
 			sum := loads[l.Endpoint]
-			loads[l.Endpoint] = Load{Endpoint: l.Endpoint, Running: sum.Running + l.Running, PendingPrompt: sum.PendingPrompt + l.PendingPrompt}
+			loads[l.Endpoint] = sum.add(l)
 		}
 	}
 	r.Age /= time.Duration(reports)
@@ -159,7 +195,7 @@
 	for _, e := range p.orderedEndpoints {
 		e.reportedRunning = e.ownRunning
 		if e.ownRunning > 0 {
-			r.Loads = append(r.Loads, Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt})
+			r.Loads = append(r.Loads, e.ownLoad())
 		}
 	}
 	return r
@@ -177,6 +213,7 @@
 		queued: lo.Sum(r.Waiting) + r.Late,
 	}
 	since := now.Add(-reportValidity) // earliest time of the outcomes
+	pr.loads = p.reconcileLent(from, pr.at, pr.loads)
 	if previous := p.peers[from]; previous != nil {
 		since = previous.at
 		pr.rate = previous.rate
@@ -235,13 +272,15 @@
 
 // addPeerLoads adds the loads of a report, times factor, to the endpoints.
 func (p *Pool) addPeerLoads(pr *peerReport, factor int) {
-	pr.running = 0
+	pr.running, pr.lent = 0, 0
 	for i := range pr.loads {
 		l := &pr.loads[i]
 		if e := p.endpoints[l.Endpoint]; e != nil {
-			e.peerLoad.running += factor * l.Running
-			e.peerLoad.pendingPrompt += core.Tokens(factor) * l.PendingPrompt
-			pr.running += l.Running
+			counted := l.Running - l.lent
+			e.peerLoad.running += factor * counted
+			e.peerLoad.pendingPrompt += core.Tokens(factor) * l.uncountedPrompt()
+			pr.running += counted
+			pr.lent += l.lent
 		}
 	}
 }
@@ -259,7 +298,8 @@
 		}
 		p.listChanged = false
 	}
-	running, age, rate := 0, time.Duration(0), 0.0
+	p.expireLent(now)
+	running, timed, age, rate := 0, 0, time.Duration(0), 0.0
 	remote, remoteAge := 0, time.Duration(0)
 	clear(p.waitingAtPeers)
 	for id, pr := range p.peers {
@@ -267,7 +307,10 @@
 			p.replacePeer(id, nil)
 			continue
 		}
-		rate += pr.rate.value
+		if pr.lent == 0 {
+			rate += pr.rate.value
+			timed += pr.running
+		}
 		for tier, n := range pr.waiting {
 			if tier == len(p.waitingAtPeers) {
 				p.waitingAtPeers = append(p.waitingAtPeers, 0)
@@ -283,8 +326,8 @@
 	}
 	p.peerLoadAge = age / time.Duration(max(running, 1))
 	p.remotePenalty = minRemotePenalty + time.Duration(remoteAgeWeight*float64(remoteAge)/float64(max(remote, 1)))
-	if rate > 0 && running > 0 { // Little's law
-		p.peerServiceTime.add(float64(running)/rate, peerServiceTimeWeight)
+	if rate > 0 && timed > 0 { // Little's law
+		p.peerServiceTime.add(float64(timed)/rate, peerServiceTimeWeight)
 	}
 }
 
@@ -312,6 +355,9 @@
 func (p *Pool) unreported(now time.Time) int {
 	n := 0.0
 	for _, pr := range p.peers {
+		if pr.lent > 0 { // this instance knows what they send
+			continue
+		}
 		age := max(now.Sub(pr.at), time.Millisecond)
 		m := pr.rate.value*age.Seconds() + float64(pr.queued)
 		n += m * min(1, p.serviceTime.value/float64(age))
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"monsoondale/core"
@@ -111,6 +112,7 @@
 	responseBegan bool    // the response has begun
 	slowness      float64 // stated in the response; 0 if not
 	probe         bool    // the endpoint is being probed after a suspension
+	place         PlaceID // zero if this instance has decided itself
 }
 
 func (*Grant) decision()  {}
@@ -157,6 +159,7 @@
 	closed  bool // decided or withdrawn; no longer in the queue
 	// spare marks a request that another endpoint is working on, so that it is not refused if it gets none.
 	spare bool
+	ask   *Ask // that this instance decides as a keeper; nil for other requests
 }
 
 // Options configures a Pool.
@@ -166,6 +169,10 @@
 	Seed uint64
 	// Log receives a line for each endpoint that is suspended or available again.
 	Log logr.Logger
+	// Keeper is the id of this instance as a keeper, and Places is told of places of other keepers and of decided asks. Both are unset if
+	// there are no keepers.
+	Keeper KeeperID
+	Places PlaceObserver
 }
 
 // streamIntervalWeight is the weight of the newest stream in an endpoint's mean time between events.
@@ -204,11 +211,14 @@
 	// assumedPosition is a random position of this instance in the order of sending, from 0 to 1, which is drawn anew for
 	// each report. chooseEndpoint uses it.
 	assumedPosition float64
+	lent            map[core.InstanceID]*originPlaces // by the sender of the reports that show their requests
+	rooms           map[core.DataCentre]*room         // in the other data centres
+	decidedAsks     []DecidedAsk                      // since TakeDecided
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, gone: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]*peerReport{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, gone: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]*peerReport{}, lent: map[core.InstanceID]*originPlaces{}, rooms: map[core.DataCentre]*room{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // SetEndpoints replaces the list of endpoints. Requests at endpoints that are no longer listed continue, and occupy their slots
@@ -224,7 +234,7 @@
 			e = p.gone[entry.ID]
 		}
 		if e == nil || e.Address != entry.Address || e.Incarnation != entry.Incarnation {
-			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now}
+			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now, hash: xxhash.Sum64String(string(entry.ID))}
 		}
 		p.endpoints[entry.ID] = e
 		delete(p.gone, entry.ID)
@@ -317,6 +327,9 @@
 		g.endpointState.recordResponse(now)
 	})
 	g.endpointState.pendingPrompt -= g.req.Prompt
+	if g.place != (PlaceID{}) {
+		p.o.Places.PlaceBegan(g.place)
+	}
 	g.endProbe()
 	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
 	p.model.addSample(g.endpointState, s)
@@ -378,6 +391,7 @@
 	defer p.mu.Unlock()
 	e := g.endpointState
 	e.ownRunning--
+	p.releasePlace(g, o == Served || o == ServerError)
 	if e.ownRunning == 0 && p.gone[e.ID] == e {
 		delete(p.gone, e.ID)
 	}
