--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -399,10 +399,18 @@
 	// ExpectedLatency and ExpectedDuration are predictions of the times to the first and the last event.
 	ExpectedLatency, ExpectedDuration time.Duration
 	RunningAtEndpoint                 int
-	Backlog                           core.Tokens // see Grant.PromptBacklog
+	Backlog                           core.Tokens // prompt tokens that the endpoint reads before the first event, those of the request included
 	State                             State
 }
 
+// Kept returns the grant of an ask for its holder.
+func (g *Grant) Kept(id PlaceID) KeptGrant {
+	return KeptGrant{
+		Place: id, Endpoint: g.Endpoint.ID, ExpectedLatency: g.ExpectedLatency, ExpectedDuration: g.ExpectedDuration,
+		RunningAtEndpoint: g.RunningAtEndpoint, Backlog: g.promptBacklog, State: g.State,
+	}
+}
+
 // Adoption is what becomes of a KeptGrant.
 type Adoption int
 
@@ -449,6 +457,3 @@
 	}
 	p.o.Places.PlaceFreed(g.place, served)
 }
-
-// PromptBacklog returns the number of prompt tokens that the endpoint reads before the first event, those of the request included.
-func (g *Grant) PromptBacklog() core.Tokens { return g.promptBacklog }
--- /dev/null
+++ b/core/pool/lent_test.go
@@ -0,0 +1,263 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"monsoondale/core"
+	"monsoondale/core/pool"
+)
+
+// keepers is the part of a simulation in which one instance of each data centre grants its places.
+type keepers struct {
+	asks map[pool.AskID]*simulatedAsk
+	next uint64
+}
+
+// simulatedAsk is an ask that has no decision yet.
+type simulatedAsk struct {
+	holder, keeper int
+	ticket         *pool.Ticket
+	lent           *pool.Ticket // at the keeper
+	req            pool.Request
+	since          time.Time // when it was made, or last had a sign of the keeper
+}
+
+const (
+	askTimeout    = 25 * time.Millisecond  // without a sign of the keeper
+	keeperSilence = 600 * time.Millisecond // after which another instance is the keeper
+)
+
+// simulatedObserver passes on what becomes of the places of an instance.
+type simulatedObserver struct {
+	s      *simulation
+	holder int
+}
+
+func (o simulatedObserver) PlaceBegan(id pool.PlaceID) {
+	o.s.toKeeper(id, func(k *pool.Pool) {
+		k.LentBegan(o.s.origin(o.holder, int(id.Keeper-1)), o.s.askID(o.holder, id.Number))
+	})
+}
+
+func (o simulatedObserver) PlaceFreed(id pool.PlaceID, served bool) {
+	o.s.toKeeper(id, func(k *pool.Pool) {
+		k.LentFreed(o.s.now, o.s.origin(o.holder, int(id.Keeper-1)), o.s.askID(o.holder, id.Number), served)
+		o.s.answer(int(id.Keeper - 1))
+	})
+}
+
+func (o simulatedObserver) AskDecided() {}
+
+func (s *simulation) askID(holder int, n uint64) pool.AskID {
+	return pool.AskID{Holder: core.InstanceID(fmt.Sprint(holder)), Number: n}
+}
+
+// origin returns the sender of the reports in which a keeper sees the requests of a holder.
+func (s *simulation) origin(holder, keeper int) core.InstanceID {
+	if holder%s.centres == keeper%s.centres {
+		return core.InstanceID(fmt.Sprint(holder))
+	}
+	return core.InstanceID(fmt.Sprint("centre ", holder%s.centres))
+}
+
+func (s *simulation) poolOptions(i int) pool.Options {
+	o := pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977}
+	if s.keeperDown != nil {
+		if s.keepers == nil {
+			s.keepers = &keepers{asks: map[pool.AskID]*simulatedAsk{}}
+		}
+		o.Keeper, o.Places = pool.KeeperID(i+1), simulatedObserver{s, i}
+	}
+	return o
+}
+
+// messageDelay returns 1 to 3 ms.
+func (s *simulation) messageDelay() time.Duration {
+	return time.Millisecond + time.Duration(s.rng.Int64N(int64(2*time.Millisecond)))
+}
+
+// down reports whether an instance, one of the first keepers, is down.
+func (s *simulation) down(i int, at time.Time) bool {
+	return i < s.centres && s.keeperDown(i, at.Sub(begin).Seconds())
+}
+
+// keeperOf returns the instance that others take for the keeper of a data centre.
+func (s *simulation) keeperOf(centre int) int {
+	if s.down(centre, s.now) && s.down(centre, s.now.Add(-keeperSilence)) {
+		return centre + s.centres
+	}
+	return centre
+}
+
+// toKeeper delivers a message to the keeper that has granted a place.
+func (s *simulation) toKeeper(id pool.PlaceID, do func(k *pool.Pool)) {
+	s.after(s.messageDelay(), func() {
+		if i := int(id.Keeper - 1); !s.down(i, s.now) {
+			do(s.pools[i])
+		}
+	})
+}
+
+// submit submits a request to an instance, which asks the keeper of its data centre.
+func (s *simulation) submit(i int, req pool.Request) *pool.Ticket {
+	if s.keepers == nil {
+		return s.pools[i].Submit(s.now, req)
+	}
+	a := &simulatedAsk{holder: i, keeper: s.keeperOf(i % s.centres), ticket: s.pools[i].Open(req), req: req}
+	s.ask(a, false)
+	return a.ticket
+}
+
+// ask sends an ask to its keeper.
+func (s *simulation) ask(a *simulatedAsk, final bool) {
+	s.keepers.next++
+	id := s.askID(a.holder, s.keepers.next)
+	s.keepers.asks[id] = a
+	a.since = s.now
+	k := a.keeper
+	s.after(s.messageDelay(), func() {
+		if s.down(k, s.now) || s.keepers.asks[id] == nil {
+			return
+		}
+		a.since = s.now
+		a.lent = s.pools[k].Lend(s.now, pool.Ask{ID: id, Origin: s.origin(a.holder, k), Own: a.holder == k, Final: final}, a.req)
+		s.answer(k)
+	})
+	s.after(askTimeout, func() { s.checkAsk(id, a) })
+}
+
+// checkAsk has a request decided by its holder if the keeper gives no sign.
+func (s *simulation) checkAsk(id pool.AskID, a *simulatedAsk) {
+	switch {
+	case s.keepers.asks[id] == nil:
+	case !s.down(a.keeper, s.now):
+		s.after(askTimeout, func() { s.checkAsk(id, a) })
+	default:
+		delete(s.keepers.asks, id)
+		s.pools[a.holder].Enqueue(s.now, a.ticket)
+	}
+}
+
+// answer sends the decisions of a keeper to the holders.
+func (s *simulation) answer(k int) {
+	if s.keepers == nil {
+		return
+	}
+	if s.down(k, s.now) {
+		return
+	}
+	for _, d := range s.pools[k].TakeDecided() {
+		delay := s.messageDelay()
+		if d.Own {
+			delay = 0
+		}
+		s.after(delay, func() { s.receive(k, d) })
+	}
+}
+
+// receive applies the decision of a keeper at the holder.
+func (s *simulation) receive(k int, d pool.DecidedAsk) {
+	a := s.keepers.asks[d.ID]
+	delete(s.keepers.asks, d.ID)
+	handBack := func() {
+		s.after(s.messageDelay(), func() { s.pools[k].LentFreed(s.now, d.Origin, d.ID, false); s.answer(k) })
+	}
+	g, granted := d.Decision.(*pool.Grant)
+	switch {
+	case a == nil && granted && d.Own:
+		s.pools[k].Release(s.now, g, pool.Cancelled)
+	case a == nil && granted:
+		handBack()
+	case a == nil:
+	case granted && d.Own:
+		s.pools[k].Decide(a.ticket, g)
+	case granted:
+		if s.pools[a.holder].Adopt(s.now, a.ticket, g.Kept(pool.PlaceID{Keeper: pool.KeeperID(k + 1), Number: d.ID.Number})) != pool.Adopted {
+			handBack()
+			s.pools[a.holder].Enqueue(s.now, a.ticket)
+		}
+	default:
+		r, redirected := d.Decision.(pool.Redirect)
+		switch {
+		case redirected && r.Centre != "":
+			a.keeper = s.keeperOf(int(r.Centre[0] - 'a'))
+			s.ask(a, true)
+		case redirected:
+			s.pools[a.holder].Enqueue(s.now, a.ticket)
+		default:
+			s.pools[a.holder].Decide(a.ticket, d.Decision)
+		}
+	}
+}
+
+// exchangeRooms tells the keepers of the free places elsewhere, every 100 ms.
+func (s *simulation) exchangeRooms(end time.Time) {
+	for c := range s.centres {
+		k := s.keeperOf(c)
+		if s.down(k, s.now) {
+			continue
+		}
+		free := s.pools[k].Room(s.now)
+		for other := range s.centres {
+			if other != c {
+				s.after(s.messageDelay(), func() { s.pools[s.keeperOf(other)].SetRoom(s.now, s.centre(c), free) })
+			}
+		}
+	}
+	if s.now.Before(end) {
+		s.after(100*time.Millisecond, func() { s.exchangeRooms(end) })
+	}
+}
+
+// gridCluster returns a cluster like the largest ones: 73 instances in three data centres, and 60 engines.
+func gridCluster() cluster {
+	return cluster{
+		instances: 73, centres: 3, engines: 60, slots: 10, slowdowns: []float64{1, 2.8, 0.55},
+		reportInterval: 160 * time.Millisecond, summaryInterval: 200 * time.Millisecond,
+	}
+}
+
+// gridLoad is about 0.8 of what the engines of gridCluster can serve.
+func gridLoad() []workload {
+	return []workload{
+		{"draft", 0, 6600, 30, 400 * time.Millisecond, constant(235)},
+		{"dedication", 1, 628, 22, 250 * time.Millisecond, constant(290)},
+		{"check", 2, 1800, 8, 250 * time.Millisecond, constant(415)},
+	}
+}
+
+func neverDown(int, float64) bool { return false }
+
+// Many instances send to the same engines. Guards against requests that find others waiting at the engine, whose queue knows no
+// urgency, because each instance decides by old reports; and against lent places that are never freed.
+func TestRequestsThatWaitAtEngines(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		down   func(int, float64) bool
+		waited float64 // largest part of the requests that wait at engines
+	}{
+		{"each decides", nil, 1},
+		{"keepers", neverDown, 0.05},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := gridCluster()
+			f.keeperDown = c.down
+			s := run(12, f, 6*time.Second, gridLoad()...)
+			for name, k := range s.results {
+				t.Logf("%s %+v", name, *k)
+			}
+			t.Logf("waited at engines %d of %d, longest queue %d", s.waited, s.sent, s.longestQueue)
+			g.Expect(ratio(s.waited, s.sent)).To(BeNumerically("<", c.waited))
+			for i, p := range s.pools {
+				g.Expect(p.Lent()).To(BeZero(), "instance %d", i)
+			}
+		})
+	}
+}
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -64,6 +64,8 @@
 	results  map[string]*result
 	// longestQueue is the largest number of requests that waited at one engine.
 	longestQueue int
+	sent, waited int // requests that reached an engine, and that had to wait there
+	keepers      *keepers
 }
 
 // cluster describes the instances and engines of a simulation.
@@ -83,6 +85,8 @@
 	absentUntil   time.Duration
 	// slowdowns are the relative service times, assigned to the engines in rotation; higher is slower.
 	slowdowns []float64
+	// keeperDown reports whether the first keeper of a data centre is down at time s, in seconds; nil if there are no keepers.
+	keeperDown func(centre int, s float64) bool
 }
 
 const (
@@ -120,7 +124,7 @@
 		s.slowdown[list[i].ID] = f.slowdowns[i/s.centres%len(f.slowdowns)]
 	}
 	for i := range f.instances {
-		p := pool.New(pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977})
+		p := pool.New(s.poolOptions(i))
 		p.SetEndpoints(begin, list[f.absentEngines:])
 		if f.absentEngines > 0 {
 			s.after(f.absentUntil+time.Duration(s.rng.Int64N(int64(listSpread))), func() { p.SetEndpoints(s.now, list) })
@@ -143,6 +147,9 @@
 		}
 	}
 	s.after(0, func() { s.tick(end) })
+	if f.keeperDown != nil {
+		s.after(0, func() { s.exchangeRooms(end) })
+	}
 	for s.pending.Len() > 0 {
 		e := heap.Pop(&s.pending).(event)
 		s.now = e.at
@@ -171,12 +178,13 @@
 // request submits a request to a random instance.
 func (s *simulation) request(w workload) {
 	s.results[w.name].total++
-	p := s.pools[s.rng.IntN(len(s.pools))]
+	i := s.rng.IntN(len(s.pools))
+	p := s.pools[i]
 	req := pool.Request{
 		Tier: 1, Rank: w.rank, Prompt: w.prompt, MaxOutput: core.Tokens(simulatedEventTokens * max(1, int(float64(w.events)*s.rng.ExpFloat64()))),
 		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter),
 	}
-	s.poll(w, p, p.Submit(s.now, req), req)
+	s.poll(w, p, s.submit(i, req), req)
 }
 
 // poll checks a ticket every millisecond; io/proxy waits on Ticket.Decided instead.
@@ -250,12 +258,14 @@
 			}
 		})
 	}
+	s.sent++
 	switch {
 	case s.running[id] < s.slots:
 		start()
 	case s.engineQueueLimit > 0 && len(s.waiting[id]) >= s.engineQueueLimit:
 		return false
 	default:
+		s.waited++
 		s.waiting[id] = append(s.waiting[id], start)
 		s.longestQueue = max(s.longestQueue, len(s.waiting[id]))
 	}
@@ -312,8 +322,11 @@
 
 // tick calls Tick on all pools every 5 ms, until 5 s after end.
 func (s *simulation) tick(end time.Time) {
-	for _, p := range s.pools {
-		p.Tick(s.now)
+	for i, p := range s.pools {
+		if p.Waiting() > 0 {
+			p.Tick(s.now)
+		}
+		s.answer(i)
 	}
 	if s.now.Before(end.Add(5 * time.Second)) {
 		s.after(5*time.Millisecond, func() { s.tick(end) })
