--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -40,6 +40,7 @@
 // gatewayCmd runs an instance on the users' platform.
 type gatewayCmd struct {
 	Settings string `type:"path" predictor:"file" help:"Settings file of the platform; default: the one that the platform names in the environment."`
+	Places   string `enum:"auto,off" default:"auto" help:"Whether one instance of each data centre grants the places of its endpoints to the others: auto (in fleets of more than 12 instances) or off."`
 }
 
 // Run runs the gateway until SIGTERM or SIGINT, which start a graceful shutdown. SIGHUP reloads the settings.
@@ -72,6 +73,7 @@
 		"store", settings.StoreAddress, "memory", settings.MemoryLimit, "descriptors", settings.MaxDescriptors)
 	g, err := gateway.Start(gateway.Options{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Headers: platform.HeaderCodec{}, RequestIDHeader: platform.RequestIDHeader, Log: log,
+		Places: gateway.PlacesMode(c.Places),
 	})
 	if err != nil {
 		return errors.Wrap(err, "start gateway")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -54,6 +54,8 @@
 	Blind   bool // its last call to the store has failed
 	// Watching reports whether it watches the store for all, and the store answers it.
 	Watching bool
+	// Power is that of its processor, in thousandths of a core, if it may grant places of endpoints; else 0.
+	Power int
 }
 
 // Summary is what a relay states about the instances of its data centre, itself included.
@@ -481,6 +483,27 @@
 	return out
 }
 
+// Candidate is an instance of the data centre that may grant places of endpoints.
+type Candidate struct {
+	Member
+	Start int64
+	Power int
+}
+
+// Candidates returns the other instances of this one's data centre that are heard, not leaving and may grant places of endpoints. There
+// is no choice, and ok is false, in a flat fleet and until this instance has listened for some time.
+func (f *Fleet) Candidates(now time.Time) (out []Candidate, ok bool) {
+	if f.Flat() || f.listeningSince.IsZero() || now.Sub(f.listeningSince) < relayDelay {
+		return nil, false
+	}
+	for _, e := range f.locals {
+		if e.Centre == f.o.Self.Centre && e.Power > 0 && !e.Leaving && e.heard(now) {
+			out = append(out, Candidate{Member: e.Member, Start: e.Start, Power: e.Power})
+		}
+	}
+	return out, true
+}
+
 // Resume discards what was heard before this process stood still.
 func (f *Fleet) Resume(now time.Time) {
 	for _, e := range f.members {
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -82,10 +82,20 @@
 		p.sumPeerLoads(now)
 	}
 	p.unreportedRequests = -1
+	recent := now.Sub(p.lastAsks) < askInterval
+	if !recent {
+		p.lastAsks = now
+	}
+	taken := true // a place may have been taken since it was checked whether one is free
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
-	for _, t := range p.queue {
+	for i, t := range p.queue {
+		if recent && taken && p.full(now) {
+			kept = append(kept, p.queue[i:]...)
+			break
+		}
+		taken = false
 		decide := p.decide
 		if t.ask != nil {
 			decide = p.decideAsk
@@ -102,9 +112,10 @@
 			}
 			kept = append(kept, t)
 		case Refusal:
-			d.State = p.state(now)
+			d.State, d.Decider = p.state(now), t.local
 			p.end(t, d)
 		default:
+			taken = true
 			p.end(t, d)
 		}
 	}
@@ -291,7 +302,7 @@
 func (p *Pool) grant(now time.Time, e *endpointState, t *Ticket) *Grant {
 	first, last := p.model.predict(now, e, &t.req)
 	g := &Grant{
-		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now),
+		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now), Decider: t.local,
 		endpointState: e, req: t.req, sent: now, promptBacklog: e.promptBacklog() + t.req.Prompt,
 	}
 	if e.consecutiveSuspensions > 0 {
--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -14,6 +14,8 @@
 	roomValidity = 500 * time.Millisecond
 	// lentMargin is how much older than a report a lent place must be for the report to show it.
 	lentMargin = 30 * time.Millisecond
+	// askInterval is how often the asks that wait are considered while no place is free.
+	askInterval = 5 * time.Millisecond
 	// maxMissing is the number of reports of the holder in a row that must lack a lent place before it is dropped.
 	maxMissing = 2
 )
@@ -130,6 +132,15 @@
 	return d
 }
 
+// full reports whether asks wait and no place is free for them. To go through the whole queue at each of the messages of a fleet would
+// take the processor of a small machine, so those that wait are considered every askInterval only.
+func (p *Pool) full(now time.Time) bool {
+	if !slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil }) {
+		return false
+	}
+	return !slices.ContainsFunc(p.orderedEndpoints, func(e *endpointState) bool { return e.freeSlots() > 0 && e.available(now) })
+}
+
 // lend counts the place of a grant as lent to the holder of an ask. The grant is not to be released.
 func (p *Pool) lend(a *Ask, g *Grant) {
 	o := p.lent[a.Origin]
@@ -137,6 +148,10 @@
 		o = &originPlaces{places: map[AskID]*lentPlace{}, missing: map[core.EndpointID]int{}}
 		p.lent[a.Origin] = o
 	}
+	if o.places[a.ID] != nil { // the ask has arrived twice
+		p.dropLent(a.Origin, a.ID)
+		p.lent[a.Origin] = o
+	}
 	e := g.endpointState
 	o.places[a.ID] = &lentPlace{endpoint: e, prompt: g.req.Prompt, at: g.sent, probe: g.probe}
 	e.lent++
@@ -185,6 +200,7 @@
 	l := o.places[id]
 	l.begin()
 	l.endpoint.lent--
+	p.forgetGone(l.endpoint)
 	if l.probe {
 		l.endpoint.probing = false
 	}
@@ -370,11 +386,12 @@
 	return &Ticket{req: req, Decided: make(chan Decision, 1)}
 }
 
-// Enqueue queues the request of an open ticket, which is then decided here.
-func (p *Pool) Enqueue(now time.Time, t *Ticket) {
+// Enqueue queues the request of an open ticket, which is then decided here for the reason why.
+func (p *Pool) Enqueue(now time.Time, t *Ticket, why string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !t.closed {
+		t.local = why
 		p.enqueue(t)
 		p.assign(now)
 	}
@@ -438,7 +455,7 @@
 	t.closed = true
 	g := p.grant(now, e, t)
 	g.ExpectedLatency, g.ExpectedDuration, g.RunningAtEndpoint, g.State = k.ExpectedLatency, k.ExpectedDuration, k.RunningAtEndpoint, k.State
-	g.promptBacklog, g.place = max(k.Backlog, t.req.Prompt), k.Place
+	g.promptBacklog, g.place, g.Decider = max(k.Backlog, t.req.Prompt), k.Place, "keeper"
 	if e.keeper != k.Place.Keeper {
 		e.keeper, e.kept = k.Place.Keeper, 0
 	}
--- a/core/pool/lent_test.go
+++ b/core/pool/lent_test.go
@@ -138,7 +138,7 @@
 		s.after(askTimeout, func() { s.checkAsk(id, a) })
 	default:
 		delete(s.keepers.asks, id)
-		s.pools[a.holder].Enqueue(s.now, a.ticket)
+		s.pools[a.holder].Enqueue(s.now, a.ticket, "test")
 	}
 }
 
@@ -178,7 +178,7 @@
 	case granted:
 		if s.pools[a.holder].Adopt(s.now, a.ticket, g.Kept(pool.PlaceID{Keeper: pool.KeeperID(k + 1), Number: d.ID.Number})) != pool.Adopted {
 			handBack()
-			s.pools[a.holder].Enqueue(s.now, a.ticket)
+			s.pools[a.holder].Enqueue(s.now, a.ticket, "test")
 		}
 	default:
 		r, redirected := d.Decision.(pool.Redirect)
@@ -187,7 +187,7 @@
 			a.keeper = s.keeperOf(int(r.Centre[0] - 'a'))
 			s.ask(a, true)
 		case redirected:
-			s.pools[a.holder].Enqueue(s.now, a.ticket)
+			s.pools[a.holder].Enqueue(s.now, a.ticket, "test")
 		default:
 			s.pools[a.holder].Decide(a.ticket, d.Decision)
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -80,6 +80,7 @@
 	RetryAfter time.Duration
 	Reason     string
 	State      State
+	Decider    string // see Grant
 }
 
 // State summarises the pool at the time of a decision.
@@ -102,6 +103,8 @@
 	// RunningAtEndpoint is the known number of requests of all instances at the endpoint just before the grant.
 	RunningAtEndpoint int
 	State             State
+	// Decider is the keeper, or why this instance has decided although there is one; empty if there is none.
+	Decider string
 
 	endpointState *endpointState
 	req           Request
@@ -159,7 +162,8 @@
 	closed  bool // decided or withdrawn; no longer in the queue
 	// spare marks a request that another endpoint is working on, so that it is not refused if it gets none.
 	spare bool
-	ask   *Ask // that this instance decides as a keeper; nil for other requests
+	ask   *Ask   // that this instance decides as a keeper; nil for other requests
+	local string // why this instance decides, not a keeper; empty if there is none
 }
 
 // Options configures a Pool.
@@ -187,7 +191,7 @@
 	mu                 sync.Mutex
 	o                  Options
 	endpoints          map[core.EndpointID]*endpointState
-	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance run there
+	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance, or at lent places, run there
 	notices            map[core.EndpointID]*noticeState
 	orderedEndpoints   []*endpointState // by id
 	queue              []*Ticket        // in the order of precedes
@@ -212,6 +216,7 @@
 	// each report. chooseEndpoint uses it.
 	assumedPosition float64
 	lent            map[core.InstanceID]*originPlaces // by the sender of the reports that show their requests
+	lastAsks        time.Time                         // when assign last went through the whole queue, asks included
 	rooms           map[core.DataCentre]*room         // in the other data centres
 	decidedAsks     []DecidedAsk                      // since TakeDecided
 }
@@ -250,7 +255,7 @@
 	for id, e := range p.endpoints {
 		if !listed[id] {
 			delete(p.endpoints, id)
-			if e.ownRunning > 0 {
+			if e.ownRunning > 0 || e.lent > 0 {
 				p.gone[id] = e
 			}
 			continue
@@ -392,9 +397,7 @@
 	e := g.endpointState
 	e.ownRunning--
 	p.releasePlace(g, o == Served || o == ServerError)
-	if e.ownRunning == 0 && p.gone[e.ID] == e {
-		delete(p.gone, e.ID)
-	}
+	p.forgetGone(e)
 	switch {
 	case !g.responseBegan:
 		e.pendingPrompt -= g.req.Prompt
@@ -416,6 +419,13 @@
 	p.assign(now)
 }
 
+// forgetGone forgets an endpoint that is no longer listed once no requests that are counted here run there.
+func (p *Pool) forgetGone(e *endpointState) {
+	if e.ownRunning == 0 && e.lent == 0 && p.gone[e.ID] == e {
+		delete(p.gone, e.ID)
+	}
+}
+
 // endProbe lets the next request probe the endpoint of a grant.
 func (g *Grant) endProbe() {
 	if g.probe {
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -33,6 +33,7 @@
 	heard, running := g.fleet.Count(now)
 	g.budgets.setInstanceCounts(heard, running)
 	g.updateWatch(now)
+	g.chooseKeepers(now)
 	for _, c := range g.fleet.Changes(now) {
 		if c.Instance != "" {
 			g.log.Info("instance heard", "instance", c.Instance, "centre", c.Centre, "silent", !c.Heard, "leaving", c.Leaving, "since", c.Silence.String(), "heard", heard, "all", running)
@@ -99,7 +100,7 @@
 		From: string(g.o.Settings.Name), Address: g.o.Settings.MeshAddress, Centre: string(g.o.Settings.Centre),
 		Start: int(g.start.UnixMilli()), Number: g.digestNumber, Every: int(every.Milliseconds()),
 		Routes: int(g.mirrors[Configurations].LastChange()), Entries: int(g.mirrors[Endpoints].LastChange()),
-		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now),
+		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now), Power: g.places.power(),
 	}
 }
 
@@ -111,6 +112,7 @@
 		Heard: s.Heard, Running: s.Running, Silent: fromIDs(s.Silent), Watchers: fromIDs(s.Watchers), Watching: fromIDs(s.Watchers), Young: s.Young,
 		Routes: d.Routes, Entries: d.Entries, Members: d.Members,
 	}
+	w.Keepers = g.places.ownKeepers()
 	for name, p := range g.pools {
 		if !g.uses(name) {
 			continue
@@ -180,7 +182,7 @@
 		return
 	}
 	if !g.fleet.RecordState(now, fleet.State{
-		Member: from, Start: int64(d.Start), Number: int64(d.Number), Every: milliseconds(d.Every), Leaving: d.Leaving, Blind: d.Blind, Watching: d.Watching,
+		Member: from, Start: int64(d.Start), Number: int64(d.Number), Every: milliseconds(d.Every), Leaving: d.Leaving, Blind: d.Blind, Watching: d.Watching, Power: d.Power,
 	}) {
 		return
 	}
@@ -225,7 +227,8 @@
 	g.applyQuarantine(now, w.Crashes, w.Parts, false)
 	validity := fleet.Validity(milliseconds(w.Every) + g.fleet.Interval())
 	if primary {
-		g.applyReports(now, core.InstanceID("centre "+w.Centre), false, w.Pools, reportAge(w.Age), validity)
+		g.places.setFarKeepers(now, relay.Centre, w.Keepers)
+		g.applyReports(now, centreOrigin(relay.Centre), false, w.Pools, reportAge(w.Age), validity)
 	}
 	g.budgets.mu.Lock()
 	g.budgets.ledger.ApplyCentreReport(now, relay.Centre, relay.Name, quota.Report{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,8 @@
 	// RequestIDHeader is the response header in which endpoints repeat the request's id.
 	RequestIDHeader string
 	Log             logr.Logger
+	// Places tells whether keepers grant the places of endpoints.
+	Places PlacesMode
 }
 
 // Gateway is a running instance.
@@ -94,6 +96,7 @@
 	recording atomic.Bool
 	// quarantine holds the parts of prompts that crash endpoints.
 	quarantine    *quarantine.Ledger
+	places        *keptPlaces
 	parts         partsRecord
 	updates       chan update
 	digests       chan wire.Digest
@@ -143,6 +146,7 @@
 		fleet:     fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
 	g.budgets = newBudgets(g.start, s)
+	g.places = newKeptPlaces(g)
 	g.quarantine = quarantine.New(quarantine.Options{Log: o.Log})
 	metrics.NewRegisteredFunctionalGauge("parts.quarantined", g.metrics, func() int64 { n, _ := g.quarantine.Size(); return int64(n) })
 	metrics.NewRegisteredFunctionalGauge("parts.crashes", g.metrics, func() int64 { _, n := g.quarantine.Size(); return int64(n) })
@@ -158,7 +162,7 @@
 	g.proxy = proxy.New(proxy.Options{
 		Headers: o.Headers, Client: g.client, Budgets: g.budgets, Config: func() proxy.Config { return *g.config.Load() },
 		Quarantine: g.quarantine, ReserveTrial: g.reserveTrial, Lateness: func() time.Duration { return g.lateness.Longest(time.Now()) },
-		Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
+		Places: g.places, Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
 	})
 	var err error
 	g.mesh, err = mesh.Listen(mesh.Options{
@@ -170,7 +174,8 @@
 				// The queue is full. A later digest replaces the state in this one, but not its samples and failures.
 			}
 		},
-		OnError: func(err error) { g.log.Info("mesh message lost", "cause", err.Error()) },
+		OnPlaces: func(m wire.Places) { g.places.receive(time.Now(), &m) },
+		OnError:  func(err error) { g.log.Info("mesh message lost", "cause", err.Error()) },
 	})
 	if err != nil {
 		return nil, err
@@ -194,7 +199,7 @@
 			w.run(ctx)
 		}()
 	}
-	for _, run := range []func(context.Context){g.register, g.restoreUsage, g.restoreParts, g.watchStandstill} {
+	for _, run := range []func(context.Context){g.register, g.restoreUsage, g.restoreParts, g.watchStandstill, g.places.run} {
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
@@ -358,6 +363,7 @@
 			p.Tick(now)
 		}
 	}
+	g.places.tick(now)
 	for c := range collectionCount {
 		if g.mirrors[c].Expire(now) {
 			g.activate(now, c, "expiry")
@@ -586,7 +592,10 @@
 	g.skipped[Endpoints].replace(g.log, Endpoints, odd)
 	for s := range lists {
 		if g.pools[s] == nil {
-			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s)})
+			g.pools[s] = pool.New(pool.Options{
+				Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s),
+				Keeper: g.places.id, Places: g.places.observer(s),
+			})
 		}
 	}
 	for s, p := range g.pools {
--- /dev/null
+++ b/gateway/places.go
@@ -0,0 +1,827 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
+
+	"monsoondale/core"
+	"monsoondale/core/fleet"
+	"monsoondale/core/places"
+	"monsoondale/core/pool"
+	"monsoondale/core/route"
+	wire "monsoondale/wire/mesh"
+)
+
+const (
+	// groupWidth is the number of endpoints of a service in a data centre above which they are divided into groups, each with a keeper.
+	groupWidth = 64
+	// freedDelay and beganDelay are how long messages that places are free, or that responses began, wait for others to the same keeper.
+	freedDelay, beganDelay = 2 * time.Millisecond, 20 * time.Millisecond
+	// roomInterval is how often keepers tell those of other data centres their free places.
+	roomInterval = 100 * time.Millisecond
+	// maxAskTries is the number of grants of endpoints that get no requests here after which this instance decides itself.
+	maxAskTries = 3
+	// maxAskAge bounds the times that an ask states.
+	maxAskAge = time.Hour
+	// maxPendingAsks bounds the asks that wait at a keeper. Those beyond it are decided by their holders.
+	maxPendingAsks = 20000
+)
+
+// PlacesMode tells whether keepers grant the places of endpoints.
+type PlacesMode string
+
+// Modes of places.
+const (
+	PlacesAuto PlacesMode = "auto" // except in flat fleets; the default
+	PlacesOff  PlacesMode = "off"  // each instance decides itself
+)
+
+// placesKey is a group of the endpoints of a service in a data centre.
+type placesKey struct {
+	service route.Service
+	group   int
+}
+
+func (k placesKey) String() string { return string(k.service) + "#" + strconv.Itoa(k.group) }
+
+// keeper is the instance that grants the places of a group.
+type keeper struct {
+	name    core.InstanceID
+	address string
+	id      pool.KeeperID
+	start   int64
+	centre  core.DataCentre
+}
+
+// heldAsk is an ask of this instance.
+type heldAsk struct {
+	service       route.Service
+	pool          *pool.Pool
+	ticket        *pool.Ticket
+	req           pool.Request
+	group, groups int
+	tries         int
+	since         time.Time
+}
+
+// pendingAsk is an ask that this instance is to decide.
+type pendingAsk struct {
+	pool    *pool.Pool
+	ticket  *pool.Ticket // nil until it is queued
+	address string       // of the holder; empty for this instance
+}
+
+// outgoing is a message that is sent when it is due.
+type outgoing struct {
+	message wire.Places
+	due     time.Time
+}
+
+// keptPlaces asks the keepers of places, and is the keeper of some itself.
+type keptPlaces struct {
+	g    *Gateway
+	mode PlacesMode
+	id   pool.KeeperID
+	self core.InstanceID
+
+	// wake is signalled when a pool has decided asks, and changed when a message is due.
+	wake, changed chan struct{}
+
+	// mu is taken while the locks of pools are held, so no method of a pool may be called under it.
+	mu       sync.Mutex
+	asker    *places.Asker[*heldAsk]
+	byTicket map[*pool.Ticket]uint64
+	pending  map[pool.AskID]*pendingAsk
+	groups   map[route.Service]int
+	keepers  map[placesKey]keeper
+	far      map[core.DataCentre]map[placesKey]keeper
+	granters map[pool.KeeperID]keeper // that this instance has got places of
+	outbox   map[string]*outgoing     // by address
+	resolved map[string]*net.UDPAddr
+
+	// Only the control goroutine uses these.
+	lastSigns, lastRooms time.Time
+}
+
+func newKeptPlaces(g *Gateway) *keptPlaces {
+	k := &keptPlaces{
+		g: g, mode: g.o.Places, self: g.o.Settings.Name, id: pool.NewKeeperID(g.o.Settings.Name, g.start.UnixMilli()),
+		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		// Numbers differ from those of the processes before, whose places keepers may still count.
+		asker:    places.NewAsker[*heldAsk](uint64(g.start.UnixMilli()) << 20),
+		byTicket: map[*pool.Ticket]uint64{}, pending: map[pool.AskID]*pendingAsk{}, groups: map[route.Service]int{}, keepers: map[placesKey]keeper{},
+		far: map[core.DataCentre]map[placesKey]keeper{}, granters: map[pool.KeeperID]keeper{}, outbox: map[string]*outgoing{}, resolved: map[string]*net.UDPAddr{},
+	}
+	k.asker.OnDoubt = func(id core.InstanceID, doubted bool) {
+		g.log.Info("keeper doubted", "keeper", id, "doubted", doubted)
+	}
+	metrics.NewRegisteredFunctionalGauge("places.held", g.metrics, func() int64 {
+		return int64(lo.SumBy(lo.Values(g.config.Load().Pools), func(p *pool.Pool) int { return p.Lent() }))
+	})
+	return k
+}
+
+func (k *keptPlaces) count(name string) {
+	metrics.GetOrRegisterCounter("places."+name, k.g.metrics).Inc(1)
+}
+
+// power returns the power of this instance as a candidate, or 0 if it is none.
+func (k *keptPlaces) power() int {
+	if k.mode == PlacesOff {
+		return 0
+	}
+	return max(k.g.o.Settings.ProcessorPower, 1)
+}
+
+// centreOrigin is the sender of the sums of a data centre.
+func centreOrigin(id core.DataCentre) core.InstanceID { return core.InstanceID("centre " + id) }
+
+// chooseKeepers decides who keeps the places of this data centre. It runs on the control goroutine.
+func (g *Gateway) chooseKeepers(now time.Time) {
+	k := g.places
+	if k.mode == PlacesOff {
+		return
+	}
+	others, ok := g.fleet.Candidates(now)
+	var candidates []places.Candidate
+	members := map[core.InstanceID]fleet.Candidate{}
+	for _, c := range others {
+		candidates = append(candidates, places.Candidate{Name: c.Name, Power: c.Power})
+		members[c.Name] = c
+	}
+	if !g.leaving.Load() {
+		candidates = append(candidates, places.Candidate{Name: k.self, Power: k.power()})
+		members[k.self] = fleet.Candidate{Member: fleet.Member{Name: k.self, Address: g.o.Settings.MeshAddress}, Start: g.start.UnixMilli()}
+	}
+	groups, keepers := map[route.Service]int{}, map[placesKey]keeper{}
+	if ok {
+		for s, p := range g.pools {
+			if !g.uses(s) {
+				continue
+			}
+			groups[s] = p.Groups(groupWidth)
+			for i := range groups[s] {
+				key := placesKey{s, i}
+				if m, ok := members[places.Keeper(key.String(), candidates)]; ok {
+					keepers[key] = keeper{name: m.Name, address: m.Address, start: m.Start, id: pool.NewKeeperID(m.Name, m.Start), centre: g.o.Settings.Centre}
+				}
+			}
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key, c := range keepers {
+		if last := k.keepers[key]; last.id != c.id {
+			g.log.Info("keeper", "service", key.service, "group", key.group, "keeper", c.name, "before", last.name, "candidates", len(candidates))
+		}
+	}
+	for key, last := range k.keepers {
+		if _, ok := keepers[key]; !ok {
+			g.log.Info("keeper", "service", key.service, "group", key.group, "keeper", "", "before", last.name, "candidates", len(candidates))
+		}
+	}
+	k.groups, k.keepers = groups, keepers
+}
+
+// ownKeepers returns the keepers of this data centre for its summary.
+func (k *keptPlaces) ownKeepers() []wire.Keeper {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []wire.Keeper
+	for key, c := range k.keepers {
+		out = append(out, c.wire(key))
+	}
+	return out
+}
+
+func (c keeper) wire(key placesKey) wire.Keeper {
+	return wire.Keeper{Service: string(key.service), Group: key.group, Name: string(c.name), Address: c.address, Start: int(c.start), Centre: string(c.centre)}
+}
+
+func newKeeper(w *wire.Keeper, centre core.DataCentre) (placesKey, keeper) {
+	name := core.InstanceID(w.Name)
+	return placesKey{route.Service(w.Service), w.Group}, keeper{name: name, address: w.Address, start: int64(w.Start), id: pool.NewKeeperID(name, int64(w.Start)), centre: centre}
+}
+
+// setFarKeepers records the keepers of another data centre.
+func (k *keptPlaces) setFarKeepers(_ time.Time, centre core.DataCentre, list []wire.Keeper) {
+	keepers := make(map[placesKey]keeper, len(list))
+	for i := range list {
+		key, c := newKeeper(&list[i], centre)
+		keepers[key] = c
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.far[centre] = keepers
+}
+
+// localReason returns why a request is decided by its holder, or "".
+func localReason(req *pool.Request) string {
+	switch {
+	case len(req.Only) > 0 || req.Returning:
+		return "returns"
+	case req.Begun:
+		return "begun"
+	}
+	return ""
+}
+
+// Submit implements proxy.Places: it asks the keeper, or has the pool decide.
+func (k *keptPlaces) Submit(now time.Time, s route.Service, p *pool.Pool, req pool.Request) *pool.Ticket {
+	k.mu.Lock()
+	h := &heldAsk{service: s, pool: p, req: req, groups: k.groups[s], since: now}
+	if h.groups > 1 {
+		h.group = int(xxhash.Sum64String(string(req.ID)) % uint64(h.groups))
+	}
+	c, ok := k.keepers[placesKey{s, h.group}]
+	why := localReason(&req)
+	if ok && why == "" && !k.asker.MayAsk(now, c.name) {
+		why = "doubt"
+	}
+	k.mu.Unlock()
+	if !ok {
+		return p.Submit(now, req)
+	}
+	h.ticket = p.Open(req)
+	if why != "" {
+		k.decideHere(now, h, why)
+		return h.ticket
+	}
+	k.ask(now, h, c, false)
+	return h.ticket
+}
+
+// decideHere has the pool of this instance decide.
+func (k *keptPlaces) decideHere(now time.Time, h *heldAsk, why string) {
+	k.count("local." + why)
+	h.pool.Enqueue(now, h.ticket, "local: "+why)
+}
+
+// ask asks a keeper for a place.
+func (k *keptPlaces) ask(now time.Time, h *heldAsk, c keeper, final bool) {
+	k.count("asked")
+	timeout := places.AckTimeout
+	switch {
+	case c.name == k.self:
+		timeout = 0
+	case c.centre != k.g.o.Settings.Centre:
+		timeout = places.FarAckTimeout
+	}
+	k.mu.Lock()
+	number := k.asker.Begin(now, c.name, timeout, h)
+	k.byTicket[h.ticket] = number
+	k.mu.Unlock()
+	if c.name == k.self {
+		k.lend(now, h.pool, pool.Ask{ID: pool.AskID{Holder: k.self, Number: number}, Origin: k.self, Own: true, Final: final, Group: h.group, Groups: h.groups}, h.req, "")
+		k.drain(now)
+		return
+	}
+	k.add(now, c.address, 0, func(m *wire.Places) { m.Asks = append(m.Asks, encodeAsk(now, number, h, final)) })
+	k.flush(now)
+}
+
+// Withdraw implements proxy.Places.
+func (k *keptPlaces) Withdraw(now time.Time, p *pool.Pool, t *pool.Ticket) *pool.Grant {
+	k.mu.Lock()
+	number, asked := k.byTicket[t]
+	if asked {
+		delete(k.byTicket, t)
+		name, _ := k.asker.Withdraw(number)
+		if name == k.self {
+			k.mu.Unlock()
+			k.withdraw(now, pool.AskID{Holder: k.self, Number: number})
+			return p.Withdraw(now, t)
+		}
+		for _, c := range k.known() {
+			if c.name == name {
+				k.addLocked(now, c.address, freedDelay, func(m *wire.Places) { m.Withdrawn = append(m.Withdrawn, int(number)) })
+				break
+			}
+		}
+	}
+	k.mu.Unlock()
+	return p.Withdraw(now, t)
+}
+
+// known returns the keepers of all data centres. The caller holds mu.
+func (k *keptPlaces) known() []keeper {
+	out := lo.Values(k.keepers)
+	for _, far := range k.far {
+		out = append(out, lo.Values(far)...)
+	}
+	return out
+}
+
+// lend queues an ask at the pool of this instance.
+func (k *keptPlaces) lend(now time.Time, p *pool.Pool, a pool.Ask, req pool.Request, address string) {
+	k.mu.Lock()
+	if k.pending[a.ID] != nil || len(k.pending) >= maxPendingAsks && !a.Own {
+		k.mu.Unlock()
+		return
+	}
+	k.pending[a.ID] = &pendingAsk{pool: p, address: address}
+	k.mu.Unlock()
+	t := p.Lend(now, a, req)
+	k.mu.Lock()
+	if e := k.pending[a.ID]; e != nil {
+		e.ticket = t
+	}
+	k.mu.Unlock()
+}
+
+// withdraw removes an ask from the queue of this instance.
+func (k *keptPlaces) withdraw(now time.Time, id pool.AskID) {
+	k.mu.Lock()
+	e := k.pending[id]
+	delete(k.pending, id)
+	k.mu.Unlock()
+	if e != nil && e.ticket != nil {
+		e.pool.Withdraw(now, e.ticket)
+	}
+}
+
+// drain passes on what the pools of this instance have decided.
+func (k *keptPlaces) drain(now time.Time) {
+	for s, p := range k.g.config.Load().Pools {
+		for _, d := range p.TakeDecided() {
+			k.mu.Lock()
+			e := k.pending[d.ID]
+			delete(k.pending, d.ID)
+			k.mu.Unlock()
+			g, granted := d.Decision.(*pool.Grant)
+			switch {
+			case d.Own:
+				k.decided(now, p, d)
+			case e == nil && granted: // withdrawn
+				p.LentFreed(now, d.Origin, d.ID, false)
+			case e != nil:
+				if granted {
+					k.count("lent")
+					k.add(now, e.address, 0, func(m *wire.Places) { m.Answers = append(m.Answers, encodeGrant(d.ID, g)) })
+				} else {
+					w := k.encodeDecision(placesKey{s, d.Group}, d)
+					k.add(now, e.address, 0, func(m *wire.Places) { m.Answers = append(m.Answers, w) })
+				}
+			}
+		}
+	}
+	k.flush(now)
+}
+
+// decided applies the decision on an ask of this instance at its own pool.
+func (k *keptPlaces) decided(now time.Time, p *pool.Pool, d pool.DecidedAsk) {
+	h, ok := k.end(k.self, d.ID.Number)
+	switch v := d.Decision.(type) {
+	case *pool.Grant:
+		v.Decider = "keeper"
+		if !ok || !p.Decide(h.ticket, v) {
+			p.Release(now, v, pool.Cancelled)
+			return
+		}
+		k.granted(now, h)
+	case pool.Refusal:
+		if ok {
+			v.Decider = "keeper"
+			k.count("refused")
+			p.Decide(h.ticket, v)
+		}
+	case pool.Redirect:
+		if !ok {
+			return
+		}
+		if c, ok := k.farKeeper(v.Centre, placesKey{h.service, h.group}); ok {
+			k.redirect(now, h, c)
+		} else {
+			k.decideHere(now, h, "keeper")
+		}
+	}
+}
+
+// granted counts a grant and the time that it took.
+func (k *keptPlaces) granted(now time.Time, h *heldAsk) {
+	k.count("granted")
+	metrics.GetOrRegisterTimer("places.wait", k.g.metrics).Update(now.Sub(h.since))
+}
+
+// redirect asks the keeper of another data centre.
+func (k *keptPlaces) redirect(now time.Time, h *heldAsk, c keeper) {
+	k.count("redirected")
+	k.mu.Lock()
+	may := k.asker.MayAsk(now, c.name)
+	k.mu.Unlock()
+	if !may {
+		k.decideHere(now, h, "doubt")
+		return
+	}
+	k.ask(now, h, c, true)
+}
+
+// farKeeper returns the keeper of a group in another data centre.
+func (k *keptPlaces) farKeeper(centre core.DataCentre, key placesKey) (keeper, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c, ok := k.far[centre][key]
+	return c, ok
+}
+
+// end ends an ask that a keeper has decided.
+func (k *keptPlaces) end(name core.InstanceID, number uint64) (*heldAsk, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, ok := k.asker.End(name, number)
+	if ok {
+		delete(k.byTicket, h.ticket)
+	}
+	return h, ok
+}
+
+// receive applies a message of another instance.
+func (k *keptPlaces) receive(now time.Time, m *wire.Places) {
+	if k.mode == PlacesOff || core.InstanceID(m.From) == k.self {
+		return
+	}
+	pools := k.g.config.Load().Pools
+	from, centre := core.InstanceID(m.From), core.DataCentre(m.Centre)
+	origin := from
+	if centre != k.g.o.Settings.Centre {
+		origin = centreOrigin(centre)
+	}
+	id := func(number int) pool.AskID { return pool.AskID{Holder: from, Number: uint64(number)} }
+	for _, e := range m.Ended {
+		for s, p := range pools {
+			if e.Service != "" && e.Service != string(s) {
+				continue
+			}
+			for _, n := range e.Began {
+				p.LentBegan(origin, id(n))
+			}
+			for _, n := range e.Served {
+				p.LentFreed(now, origin, id(n), true)
+			}
+			for _, n := range e.Unserved {
+				p.LentFreed(now, origin, id(n), false)
+			}
+		}
+	}
+	for _, n := range m.Withdrawn {
+		k.withdraw(now, id(n))
+	}
+	for _, r := range m.Rooms {
+		if p := pools[route.Service(r.Service)]; p != nil && origin != from {
+			p.SetRoom(now, centre, min(max(r.Free, -maxFigure), maxFigure))
+		}
+	}
+	for i := range m.Asks {
+		a := &m.Asks[i]
+		p := pools[route.Service(a.Service)]
+		if p == nil || k.g.leaving.Load() {
+			k.add(now, m.Address, 0, func(w *wire.Places) { w.Answers = append(w.Answers, wire.Answer{Number: a.Number}) })
+			continue
+		}
+		groups := min(max(a.Groups, 1), maxFigure)
+		k.lend(now, p, pool.Ask{ID: id(a.Number), Origin: origin, Final: a.Final, Group: max(a.Group, 0) % groups, Groups: groups}, decodeAsk(now, a), m.Address)
+	}
+	if len(m.Answers) > 0 || len(m.Waiting) > 0 {
+		k.receiveAnswers(now, from, m)
+	}
+	k.drain(now)
+	if len(m.Asks) > 0 {
+		k.mu.Lock()
+		for i := range m.Asks {
+			if n := m.Asks[i].Number; k.pending[id(n)] != nil {
+				k.addLocked(now, m.Address, 0, func(w *wire.Places) { w.Waiting = append(w.Waiting, n) })
+			}
+		}
+		k.mu.Unlock()
+		k.flush(now)
+	}
+}
+
+// receiveAnswers applies the decisions of a keeper on asks of this instance.
+func (k *keptPlaces) receiveAnswers(now time.Time, from core.InstanceID, m *wire.Places) {
+	granter := keeper{name: from, address: m.Address, start: int64(m.Start), id: pool.NewKeeperID(from, int64(m.Start)), centre: core.DataCentre(m.Centre)}
+	k.mu.Lock()
+	for _, n := range m.Waiting {
+		k.asker.Sign(now, from, uint64(n))
+	}
+	k.granters[granter.id] = granter
+	k.mu.Unlock()
+	for i := range m.Answers {
+		a := &m.Answers[i]
+		handBack := func(s route.Service) {
+			k.count("returned")
+			k.addEnded(now, m.Address, s, freedDelay, func(e *wire.Ended) { e.Unserved = append(e.Unserved, a.Number) })
+		}
+		h, ok := k.end(from, uint64(a.Number))
+		switch {
+		case !ok:
+			if a.Endpoint != "" {
+				handBack("")
+			}
+		case a.Endpoint != "":
+			switch h.pool.Adopt(now, h.ticket, decodeGrant(granter.id, a)) {
+			case pool.Adopted:
+				k.granted(now, h)
+			case pool.Late:
+				handBack(h.service)
+			case pool.Unfit:
+				handBack(h.service)
+				h.req.Exclude = append(slices.Clone(h.req.Exclude), core.EndpointID(a.Endpoint))
+				if h.tries++; h.tries < maxAskTries {
+					k.ask(now, h, granter, granter.centre != k.g.o.Settings.Centre)
+				} else {
+					k.decideHere(now, h, "unfit")
+				}
+			}
+		case a.Reason != "":
+			k.count("refused")
+			h.pool.Decide(h.ticket, pool.Refusal{RetryAfter: milliseconds(min(max(a.Retry, 1), maxFigure)), Reason: a.Reason, State: decodeState(a), Decider: "keeper"})
+		case a.Keeper != nil && granter.centre == k.g.o.Settings.Centre:
+			_, c := newKeeper(a.Keeper, core.DataCentre(a.Keeper.Centre))
+			k.redirect(now, h, c)
+		default:
+			k.decideHere(now, h, "keeper")
+		}
+	}
+}
+
+// tick does what is due by time alone. It runs on the control goroutine.
+func (k *keptPlaces) tick(now time.Time) {
+	if k.mode == PlacesOff {
+		return
+	}
+	k.mu.Lock()
+	overdue := k.asker.Overdue(now)
+	for _, h := range overdue {
+		delete(k.byTicket, h.ticket)
+	}
+	if now.Sub(k.lastSigns) >= places.SignInterval {
+		k.lastSigns = now
+		for id, e := range k.pending {
+			if e.address != "" {
+				k.addLocked(now, e.address, 0, func(m *wire.Places) { m.Waiting = append(m.Waiting, int(id.Number)) })
+			}
+		}
+	}
+	var kept []placesKey
+	if now.Sub(k.lastRooms) >= roomInterval && len(k.far) > 0 {
+		k.lastRooms = now
+		for key, c := range k.keepers {
+			if c.name == k.self {
+				kept = append(kept, key)
+			}
+		}
+	}
+	k.mu.Unlock()
+	for _, h := range overdue {
+		k.decideHere(now, h, "silent")
+	}
+	for _, key := range kept {
+		p := k.g.pools[key.service]
+		if p == nil {
+			continue
+		}
+		r := wire.Room{Service: string(key.service), Group: key.group, Free: p.Room(now)}
+		k.mu.Lock()
+		for _, far := range k.far {
+			if c, ok := far[key]; ok {
+				k.addLocked(now, c.address, 0, func(m *wire.Places) { m.Rooms = append(m.Rooms, r) })
+			}
+		}
+		k.mu.Unlock()
+	}
+	k.flush(now)
+}
+
+// run passes on decisions and sends messages when they are due.
+func (k *keptPlaces) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+			k.drain(time.Now())
+		case <-k.changed:
+		case <-timer.C:
+		}
+		now := time.Now()
+		next := k.flush(now)
+		timer.Reset(max(next.Sub(now), 0))
+	}
+}
+
+// add adds something to the message to an address, which is due after a delay at the latest.
+func (k *keptPlaces) add(now time.Time, address string, delay time.Duration, change func(m *wire.Places)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.addLocked(now, address, delay, change)
+}
+
+func (k *keptPlaces) addLocked(now time.Time, address string, delay time.Duration, change func(m *wire.Places)) {
+	o, due := k.outbox[address], now.Add(delay)
+	if o == nil {
+		s := k.g.o.Settings
+		o = &outgoing{message: wire.Places{From: string(s.Name), Address: s.MeshAddress, Centre: string(s.Centre), Start: int(k.g.start.UnixMilli())}, due: due}
+		k.outbox[address] = o
+	} else if due.Before(o.due) {
+		o.due = due
+	}
+	change(&o.message)
+	if delay > 0 {
+		signal(k.changed)
+	}
+}
+
+// addEnded adds to what is told about the ended asks of a service.
+func (k *keptPlaces) addEnded(now time.Time, address string, s route.Service, delay time.Duration, change func(e *wire.Ended)) {
+	k.add(now, address, delay, func(m *wire.Places) {
+		i := slices.IndexFunc(m.Ended, func(e wire.Ended) bool { return e.Service == string(s) })
+		if i < 0 {
+			m.Ended = append(m.Ended, wire.Ended{Service: string(s)})
+			i = len(m.Ended) - 1
+		}
+		change(&m.Ended[i])
+	})
+}
+
+// flush sends the messages that are due, and returns when the next one is.
+func (k *keptPlaces) flush(now time.Time) time.Time {
+	next := now.Add(time.Hour)
+	type message struct {
+		to *net.UDPAddr
+		m  *wire.Places
+	}
+	var due []message
+	k.mu.Lock()
+	for address, o := range k.outbox {
+		if o.due.After(now) {
+			if o.due.Before(next) {
+				next = o.due
+			}
+			continue
+		}
+		delete(k.outbox, address)
+		if to, err := k.resolve(address); err == nil {
+			due = append(due, message{to, &o.message})
+		}
+	}
+	k.mu.Unlock()
+	for _, d := range due {
+		n, err := k.g.mesh.SendPlaces(d.m, d.to)
+		if err != nil {
+			k.count("unsent")
+			continue
+		}
+		k.count("sent")
+		metrics.GetOrRegisterCounter("places.bytes", k.g.metrics).Inc(int64(n))
+	}
+	return next
+}
+
+// resolve returns the socket address of an IP:PORT. The caller holds mu.
+func (k *keptPlaces) resolve(address string) (*net.UDPAddr, error) {
+	if a := k.resolved[address]; a != nil {
+		return a, nil
+	}
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err == nil {
+		k.resolved[address] = a
+	}
+	return a, err
+}
+
+// signal sends to a channel of capacity 1 unless it is full.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// placeObserver passes what becomes of the places of a service on to their keepers.
+type placeObserver struct {
+	k       *keptPlaces
+	service route.Service
+}
+
+func (k *keptPlaces) observer(s route.Service) pool.PlaceObserver { return placeObserver{k, s} }
+
+// PlaceBegan implements pool.PlaceObserver.
+func (o placeObserver) PlaceBegan(id pool.PlaceID) {
+	o.tell(id, beganDelay, func(e *wire.Ended) { e.Began = append(e.Began, int(id.Number)) })
+}
+
+// PlaceFreed implements pool.PlaceObserver.
+func (o placeObserver) PlaceFreed(id pool.PlaceID, served bool) {
+	o.tell(id, freedDelay, func(e *wire.Ended) {
+		if served {
+			e.Served = append(e.Served, int(id.Number))
+		} else {
+			e.Unserved = append(e.Unserved, int(id.Number))
+		}
+	})
+}
+
+func (o placeObserver) tell(id pool.PlaceID, delay time.Duration, change func(e *wire.Ended)) {
+	o.k.mu.Lock()
+	c, ok := o.k.granters[id.Keeper]
+	o.k.mu.Unlock()
+	if ok {
+		o.k.addEnded(time.Now(), c.address, o.service, delay, change)
+	}
+}
+
+// AskDecided implements pool.PlaceObserver.
+func (o placeObserver) AskDecided() { signal(o.k.wake) }
+
+// encodeAsk converts an ask to its wire format.
+func encodeAsk(now time.Time, number uint64, h *heldAsk, final bool) wire.Ask {
+	r := &h.req
+	w := wire.Ask{
+		Number: int(number), Service: string(h.service), Request: string(r.ID), Tier: int(r.Tier), Rank: r.Rank, Prompt: int(r.Prompt), Output: int(r.MaxOutput),
+		Age: int(now.Sub(r.Arrived).Milliseconds()), Deadline: int(r.Deadline.Sub(r.Arrived).Milliseconds()), Gap: int(r.GapObjective.Milliseconds()),
+		Stream: r.Stream, Retried: r.Retried, Unstalled: r.Unstalled, Final: final, Group: h.group, Groups: max(h.groups, 1),
+	}
+	if !r.Objective.IsZero() {
+		w.Objective = max(int(r.Objective.Sub(r.Arrived).Milliseconds()), 1)
+	}
+	for _, id := range r.Exclude {
+		w.Avoid = append(w.Avoid, string(id))
+	}
+	return w
+}
+
+// decodeAsk converts an ask from its wire format.
+func decodeAsk(now time.Time, w *wire.Ask) pool.Request {
+	bounded := func(ms int) time.Duration { return min(milliseconds(min(max(ms, 0), maxFigure)), maxAskAge) }
+	tokens := func(n int) core.Tokens { return core.Tokens(min(max(n, 0), maxFigure)) }
+	arrived := now.Add(-bounded(w.Age))
+	r := pool.Request{
+		ID: core.RequestID(w.Request), Tier: core.Tier(min(max(w.Tier, 0), core.Tiers-1)), Rank: min(max(w.Rank, 0), core.Tiers-1), Prompt: tokens(w.Prompt), MaxOutput: tokens(w.Output),
+		Arrived: arrived, Deadline: arrived.Add(bounded(w.Deadline)), GapObjective: bounded(w.Gap), Stream: w.Stream, Retried: w.Retried, Unstalled: w.Unstalled,
+	}
+	if w.Objective > 0 {
+		r.Objective = arrived.Add(bounded(w.Objective))
+	}
+	for _, id := range w.Avoid {
+		r.Exclude = append(r.Exclude, core.EndpointID(id))
+	}
+	return r
+}
+
+// encodeGrant converts the grant of an ask to its wire format.
+func encodeGrant(id pool.AskID, g *pool.Grant) wire.Answer {
+	kept := g.Kept(pool.PlaceID{})
+	w := wire.Answer{
+		Number: int(id.Number), Endpoint: string(kept.Endpoint), First: int(kept.ExpectedLatency.Milliseconds()), Last: int(kept.ExpectedDuration.Milliseconds()),
+		Running: kept.RunningAtEndpoint, Ahead: int(kept.Backlog),
+	}
+	encodeState(&w, kept.State)
+	return w
+}
+
+// decodeGrant converts the grant of a keeper from its wire format.
+func decodeGrant(id pool.KeeperID, w *wire.Answer) pool.KeptGrant {
+	bounded := func(n int) int { return min(max(n, 0), maxFigure) }
+	return pool.KeptGrant{
+		Place: pool.PlaceID{Keeper: id, Number: uint64(w.Number)}, Endpoint: core.EndpointID(w.Endpoint), ExpectedLatency: milliseconds(bounded(w.First)),
+		ExpectedDuration: milliseconds(bounded(w.Last)), RunningAtEndpoint: bounded(w.Running), Backlog: core.Tokens(bounded(w.Ahead)), State: decodeState(w),
+	}
+}
+
+// encodeDecision converts a decision other than a grant to its wire format.
+func (k *keptPlaces) encodeDecision(key placesKey, d pool.DecidedAsk) wire.Answer {
+	w := wire.Answer{Number: int(d.ID.Number)}
+	switch v := d.Decision.(type) {
+	case pool.Refusal:
+		w.Reason, w.Retry = v.Reason, int(v.RetryAfter.Milliseconds())
+		encodeState(&w, v.State)
+	case pool.Redirect:
+		if c, ok := k.farKeeper(v.Centre, key); ok {
+			keeper := c.wire(key)
+			w.Keeper = &keeper
+		}
+	default:
+		panic(fmt.Sprintf("decision %T", v))
+	}
+	return w
+}
+
+func encodeState(w *wire.Answer, s pool.State) {
+	w.Waiting, w.Free, w.Slots, w.Peers, w.Oldest = s.Waiting, s.Free, s.Slots, s.Peers, int(s.ReportAge.Milliseconds())
+}
+
+func decodeState(w *wire.Answer) pool.State {
+	return pool.State{Waiting: w.Waiting, Free: w.Free, Slots: w.Slots, Peers: w.Peers, ReportAge: reportAge(w.Oldest)}
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -30,7 +30,7 @@
 func reportAge(ms int) time.Duration { return min(max(milliseconds(ms), 0), maxReportAge) }
 
 // encodeReport converts the report of a pool to its wire format, in which the fields of the loads and of the samples are
-// parallel lists. Of the loads, Endpoints holds Endpoint, Running holds Running and Reading holds PendingPrompt. Of the
+// parallel lists. Of the loads, Endpoints holds Endpoint, Running holds Running, Reading holds PendingPrompt, Kept holds Kept and Keepers holds Keeper. Of the
 // samples, Seen holds Endpoint, Ahead holds PromptBacklog, First holds Latency in milliseconds and Pace holds Slowness in percent.
 func encodeReport(s route.Service, r pool.Report) wire.Pool {
 	w := wire.Pool{Service: string(s), Waiting: r.Waiting, Late: r.Late}
@@ -38,6 +38,11 @@
 		w.Endpoints = append(w.Endpoints, string(l.Endpoint))
 		w.Running = append(w.Running, l.Running)
 		w.Reading = append(w.Reading, int(l.PendingPrompt))
+		w.Kept = append(w.Kept, l.Kept)
+		w.Keepers = append(w.Keepers, int(l.Keeper))
+	}
+	if lo.Sum(w.Kept) == 0 {
+		w.Kept, w.Keepers = nil, nil
 	}
 	for _, v := range r.Samples {
 		w.Seen = append(w.Seen, string(v.Endpoint))
@@ -58,16 +63,21 @@
 // error: loads below zero would make endpoints look emptier than empty.
 func decodeReport(w *wire.Pool) (pool.Report, error) {
 	r := pool.Report{Waiting: w.Waiting, Late: w.Late}
-	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) || len(w.Pace) > 0 && len(w.Pace) != len(w.Seen) {
+	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) || len(w.Pace) > 0 && len(w.Pace) != len(w.Seen) ||
+		len(w.Kept) != len(w.Keepers) || len(w.Kept) > 0 && len(w.Kept) != len(w.Endpoints) {
 		return r, errListLengths
 	}
-	for _, figures := range [][]int{w.Running, w.Reading, w.Ahead, w.First, w.Pace, w.Waiting, {w.Late}} {
+	for _, figures := range [][]int{w.Running, w.Reading, w.Ahead, w.First, w.Pace, w.Waiting, w.Kept, {w.Late}} {
 		if slices.ContainsFunc(figures, func(n int) bool { return n < 0 || n > maxFigure }) {
 			return r, errFigure
 		}
 	}
 	for i, e := range w.Endpoints {
 		r.Loads = append(r.Loads, pool.Load{Endpoint: core.EndpointID(e), Running: w.Running[i], PendingPrompt: core.Tokens(w.Reading[i])})
+		if len(w.Kept) > 0 {
+			l := &r.Loads[i]
+			l.Kept, l.Keeper = min(w.Kept[i], l.Running), pool.KeeperID(w.Keepers[i])
+		}
 	}
 	for i, e := range w.Seen {
 		s := pool.Sample{
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -25,6 +25,8 @@
 	// MemoryLimit is the memory limit of the process in bytes, and MaxDescriptors its limit on open file descriptors.
 	MemoryLimit    int64
 	MaxDescriptors int
+	// ProcessorPower is the processor time that the process may use, in thousandths of a core.
+	ProcessorPower int
 	// ShutdownGrace is the time between SIGTERM and SIGKILL.
 	ShutdownGrace time.Duration
 	// These settings limit the retries of a service on all instances together; see core/retry.
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -38,6 +38,8 @@
 	Address string // IP:PORT for both UDP and HTTP
 	// OnDigest is called with each digest that is received, one at a time.
 	OnDigest func(d mesh.Digest)
+	// OnPlaces is called with each message about places that is received, one at a time.
+	OnPlaces func(m mesh.Places)
 	// Copy returns this instance's copy of a collection, or only the changes after a revision. ok is false if there is no
 	// copy. marks is false for receivers that would take objects in doubt for objects in the store.
 	Copy func(collection string, after int, marks bool) (c mesh.Copy, ok bool)
@@ -94,6 +96,16 @@
 	return errors.Wrap(err, "send digest")
 }
 
+// SendPlaces sends a message about places to an address.
+func (m *Mesh) SendPlaces(p *mesh.Places, to *net.UDPAddr) (int, error) {
+	b, err := encodePlaces(p)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode message about places")
+	}
+	_, err = m.udp.WriteToUDP(b, to)
+	return len(b), errors.Wrap(err, "send message about places")
+}
+
 // receive passes received digests to OnDigest until the socket is closed.
 func (m *Mesh) receive() {
 	b := make([]byte, maxDatagramBytes)
@@ -106,6 +118,15 @@
 			m.o.OnError(errors.Wrap(err, "receive digest"))
 			continue
 		}
+		if n > 0 && b[0] == placesMark {
+			p, err := decodePlaces(b[1:n])
+			if err != nil {
+				m.o.OnError(errors.Wrap(err, "decode message about places"))
+			} else if m.o.OnPlaces != nil {
+				m.o.OnPlaces(p)
+			}
+			continue
+		}
 		d, err := decodeDigest(b[:n])
 		if err != nil {
 			m.o.OnError(errors.Wrap(err, "decode digest"))
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -132,6 +132,8 @@
 	ReserveTrial ReserveTrial
 	// Lateness returns the longest recent delay of the process, in which it did not run or was busy; default 0.
 	Lateness func() time.Duration
+	// Places decides which endpoints requests get; default: the pool of each service.
+	Places Places
 	// MaxBuffered limits the bytes that the bodies of all requests and responses occupy at once; 0 for no limit.
 	MaxBuffered int64
 }
@@ -153,6 +155,9 @@
 	if o.Lateness == nil {
 		o.Lateness = func() time.Duration { return 0 }
 	}
+	if o.Places == nil {
+		o.Places = poolPlaces{}
+	}
 	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
 	h.shutdown.init()
 	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
@@ -233,6 +238,7 @@
 	statedLoad      pool.StatedLoad
 	knownLoad       int           // number of requests known to be at the endpoint when it stated its load
 	poolState       pool.State    // at the last decision of the pool
+	decider         string        // of that decision
 	retryAfter      time.Duration // in the response to the caller
 	begun           time.Duration // from the beginning of the last response that failed to its failure
 	cause           error
@@ -541,7 +547,7 @@
 	}
 	x.stage = stageQueue
 	start := time.Now()
-	t := x.pool.Submit(start, x.poolRequest())
+	t := x.handler.o.Places.Submit(start, x.service, x.pool, x.poolRequest())
 	defer func() { x.queueTime += time.Since(start) }()
 	select {
 	case d := <-t.Decided:
@@ -549,7 +555,7 @@
 		case *pool.Grant:
 			return x.acceptGrant(d)
 		case pool.Refusal:
-			x.poolState = d.State
+			x.poolState, x.decider = d.State, d.Decider
 			return nil, x.failOrRefuse(d.Reason, d.RetryAfter)
 		}
 	case <-x.r.Context().Done():
@@ -587,7 +593,7 @@
 
 // withdraw ends the wait for an endpoint.
 func (x *exchange) withdraw(t *pool.Ticket) {
-	if g := x.pool.Withdraw(time.Now(), t); g != nil {
+	if g := x.handler.o.Places.Withdraw(time.Now(), x.pool, t); g != nil {
 		x.pool.Release(time.Now(), g, pool.Cancelled)
 	}
 }
@@ -634,7 +640,7 @@
 
 // recordGrant keeps what a grant was based on for the log.
 func (x *exchange) recordGrant(g *pool.Grant) {
-	x.poolState, x.expectedLatency, x.endpointLoad = g.State, g.ExpectedLatency, g.RunningAtEndpoint
+	x.poolState, x.expectedLatency, x.endpointLoad, x.decider = g.State, g.ExpectedLatency, g.RunningAtEndpoint, g.Decider
 }
 
 // failOrRefuse ends a request that is not sent to a further endpoint: with an error if an endpoint may have run it, else
--- a/io/proxy/stats.go
+++ b/io/proxy/stats.go
@@ -94,6 +94,9 @@
 	if x.poolState.Slots > 0 {
 		values = append(values, "wait", milliseconds(x.queueTime), "waiting", x.poolState.Waiting, "free", x.poolState.Free, "slots", x.poolState.Slots,
 			"peers", x.poolState.Peers, "age", milliseconds(x.poolState.ReportAge))
+		if x.decider != "" {
+			values = append(values, "decider", x.decider)
+		}
 	}
 	if x.retryAfter > 0 {
 		values = append(values, "retry", milliseconds(x.retryAfter))
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -4,6 +4,116 @@
 
 import "encoding/json"
 
+// Answer decides an ask: Endpoint is granted, or Reason says why the request is
+// refused, with the milliseconds after which to return in Retry, or another keeper
+// is to be asked, or, if none of them is given, the asker decides itself. First
+// and Last are the expected milliseconds to the first and last event, Running the
+// requests at the endpoint, Ahead the prompt tokens that it reads first. Waiting,
+// Free, Slots, Peers and Oldest describe the keeper's pool.
+type Answer struct {
+	// Ahead corresponds to the JSON schema field "ahead".
+	Ahead int `json:"ahead,omitempty,omitzero"`
+
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint string `json:"endpoint,omitempty,omitzero"`
+
+	// First corresponds to the JSON schema field "first".
+	First int `json:"first,omitempty,omitzero"`
+
+	// Free corresponds to the JSON schema field "free".
+	Free int `json:"free,omitempty,omitzero"`
+
+	// Keeper corresponds to the JSON schema field "keeper".
+	Keeper *Keeper `json:"keeper,omitempty,omitzero"`
+
+	// Last corresponds to the JSON schema field "last".
+	Last int `json:"last,omitempty,omitzero"`
+
+	// Number corresponds to the JSON schema field "number".
+	Number int `json:"number"`
+
+	// Oldest corresponds to the JSON schema field "oldest".
+	Oldest int `json:"oldest,omitempty,omitzero"`
+
+	// Peers corresponds to the JSON schema field "peers".
+	Peers int `json:"peers,omitempty,omitzero"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// Retry corresponds to the JSON schema field "retry".
+	Retry int `json:"retry,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots,omitempty,omitzero"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
+// Ask asks for a place for a request of a service, at an endpoint of one of Groups
+// groups. Age, Objective, Deadline and Gap are in milliseconds; Objective and
+// Deadline count from the arrival. Final tells that another data centre has sent
+// the asker here. Avoid has endpoints that are not to be granted.
+type Ask struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Avoid corresponds to the JSON schema field "avoid".
+	Avoid []string `json:"avoid,omitempty,omitzero"`
+
+	// Deadline corresponds to the JSON schema field "deadline".
+	Deadline int `json:"deadline,omitempty,omitzero"`
+
+	// Final corresponds to the JSON schema field "final".
+	Final bool `json:"final,omitempty,omitzero"`
+
+	// Gap corresponds to the JSON schema field "gap".
+	Gap int `json:"gap,omitempty,omitzero"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group int `json:"group,omitempty,omitzero"`
+
+	// Groups corresponds to the JSON schema field "groups".
+	Groups int `json:"groups,omitempty,omitzero"`
+
+	// Number corresponds to the JSON schema field "number".
+	Number int `json:"number"`
+
+	// Objective corresponds to the JSON schema field "objective".
+	Objective int `json:"objective,omitempty,omitzero"`
+
+	// Output corresponds to the JSON schema field "output".
+	Output int `json:"output,omitempty,omitzero"`
+
+	// Prompt corresponds to the JSON schema field "prompt".
+	Prompt int `json:"prompt,omitempty,omitzero"`
+
+	// Rank corresponds to the JSON schema field "rank".
+	Rank int `json:"rank,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request,omitempty,omitzero"`
+
+	// Retried corresponds to the JSON schema field "retried".
+	Retried bool `json:"retried,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Stream corresponds to the JSON schema field "stream".
+	Stream bool `json:"stream,omitempty,omitzero"`
+
+	// Tier corresponds to the JSON schema field "tier".
+	Tier int `json:"tier,omitempty,omitzero"`
+
+	// Unstalled corresponds to the JSON schema field "unstalled".
+	Unstalled bool `json:"unstalled,omitempty,omitzero"`
+}
+
 // Copy is an instance's copy of a collection as of Revision. If Partial, Items are
 // those that changed after the revision that was asked for, and Gone those that
 // were removed; if none was asked for, Items are those that the instance could
@@ -57,7 +167,8 @@
 // Far are the summaries of other data centres that the sender has received since
 // the last digest. A digest with a summary of the sender's own data centre is for
 // instances of other data centres. Crashes are those of endpoints with requests of
-// the sender, Parts those in quarantine or released lately.
+// the sender, Parts those in quarantine or released lately. Power is the power of
+// the sender's processor, in thousandths of a core, if it may be a keeper; else 0.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -98,6 +209,9 @@
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
+	// Power corresponds to the JSON schema field "power".
+	Power int `json:"power,omitempty,omitzero"`
+
 	// Routes corresponds to the JSON schema field "routes".
 	Routes int `json:"routes,omitempty,omitzero"`
 
@@ -135,6 +249,22 @@
 	Revision int `json:"revision"`
 }
 
+// Ended has the numbers of asks of a service whose places are free after the
+// request was served, or without that, and of those whose responses began.
+type Ended struct {
+	// Began corresponds to the JSON schema field "began".
+	Began []int `json:"began,omitempty,omitzero"`
+
+	// Served corresponds to the JSON schema field "served".
+	Served []int `json:"served,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Unserved corresponds to the JSON schema field "unserved".
+	Unserved []int `json:"unserved,omitempty,omitzero"`
+}
+
 // Item is an object of a collection. Body is its content as it stands in the
 // store.
 type Item struct {
@@ -148,6 +278,28 @@
 	Revision int `json:"revision"`
 }
 
+// Keeper is the instance that grants the places of a group of the endpoints of a
+// service in a data centre, and when its process started, in Unix milliseconds.
+type Keeper struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Centre corresponds to the JSON schema field "centre".
+	Centre string `json:"centre,omitempty,omitzero"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group int `json:"group,omitempty,omitzero"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start int `json:"start"`
+}
+
 // Part is a part of prompts that is in quarantine, or has been released. Crashes
 // and Requests are the numbers of crashes and of requests under them that led to
 // the quarantine, Trials the requests that were sent in spite of it, and Idle the
@@ -191,6 +343,41 @@
 	Parts []Part `json:"parts"`
 }
 
+// Places is a message between a keeper and another instance. Start is the start of
+// the sender's process. Waiting has the numbers of the receiver's asks that wait
+// at the sender, Withdrawn those of the sender's that are to be dropped.
+type Places struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Answers corresponds to the JSON schema field "answers".
+	Answers []Answer `json:"answers,omitempty,omitzero"`
+
+	// Asks corresponds to the JSON schema field "asks".
+	Asks []Ask `json:"asks,omitempty,omitzero"`
+
+	// Centre corresponds to the JSON schema field "centre".
+	Centre string `json:"centre"`
+
+	// Ended corresponds to the JSON schema field "ended".
+	Ended []Ended `json:"ended,omitempty,omitzero"`
+
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from"`
+
+	// Rooms corresponds to the JSON schema field "rooms".
+	Rooms []Room `json:"rooms,omitempty,omitzero"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start int `json:"start"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting []int `json:"waiting,omitempty,omitzero"`
+
+	// Withdrawn corresponds to the JSON schema field "withdrawn".
+	Withdrawn []int `json:"withdrawn,omitempty,omitzero"`
+}
+
 // Pool is the sender's load at the endpoints of one service. Endpoints, Running
 // and Reading have an entry for each endpoint with load: its id, the requests in
 // progress, and the prompt tokens that it has not read. Waiting has the number of
@@ -199,7 +386,9 @@
 // the last digest: the endpoint, the prompt tokens that it had to read, and the
 // milliseconds until the response began. Pace, if not empty, has the percentage of
 // the usual time that work took there, 0 if the endpoint did not state it. Failed
-// has the endpoint of each request since then that an endpoint broke.
+// has the endpoint of each request since then that an endpoint broke. Kept and
+// Keepers, if not empty, have an entry for each endpoint with load: the requests
+// under grants of a keeper, and its id.
 type Pool struct {
 	// Ahead corresponds to the JSON schema field "ahead".
 	Ahead []int `json:"ahead,omitempty,omitzero"`
@@ -213,6 +402,12 @@
 	// First corresponds to the JSON schema field "first".
 	First []int `json:"first,omitempty,omitzero"`
 
+	// Keepers corresponds to the JSON schema field "keepers".
+	Keepers []int `json:"keepers,omitempty,omitzero"`
+
+	// Kept corresponds to the JSON schema field "kept".
+	Kept []int `json:"kept,omitempty,omitzero"`
+
 	// Late corresponds to the JSON schema field "late".
 	Late int `json:"late,omitempty,omitzero"`
 
@@ -263,6 +458,19 @@
 
 type RecordSlices map[string][]float64
 
+// Room is the number of free places in the sender's data centre, less the requests
+// that wait for one.
+type Room struct {
+	// Free corresponds to the JSON schema field "free".
+	Free int `json:"free"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group int `json:"group,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // Summary is the state of a data centre, as the instance From sums it up. Heard
 // and Running count its instances that are heard and that may be running; Silent
 // are those that are listed but not heard. Watching are the first that watch the
@@ -270,7 +478,7 @@
 // version that took instances which had not read the store for able to. Young
 // tells that one has started recently. Pools, Used and Total are as in a digest,
 // for the whole data centre; Age is the mean age of the loads in milliseconds.
-// Crashes and Parts are as in a digest.
+// Crashes and Parts are as in a digest. Keepers are those of the data centre.
 type Summary struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -296,6 +504,9 @@
 	// Heard corresponds to the JSON schema field "heard".
 	Heard int `json:"heard,omitempty,omitzero"`
 
+	// Keepers corresponds to the JSON schema field "keepers".
+	Keepers []Keeper `json:"keepers,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members int `json:"members,omitempty,omitzero"`
 
