--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"monsoondale/core"
 )
@@ -100,10 +101,8 @@
 // groupOf returns the group of an endpoint.
 func (e *endpointState) groupOf(groups int) int { return int(e.hash % uint64(groups)) }
 
-// covers reports whether an ask may get an endpoint.
-func (a *Ask) covers(e *endpointState, centre core.DataCentre) bool {
-	return e.Centre == centre && (a.Groups <= 1 || e.groupOf(a.Groups) == a.Group)
-}
+// covers reports whether an endpoint belongs to the group of an ask.
+func (a *Ask) covers(e *endpointState) bool { return a.Groups <= 1 || e.groupOf(a.Groups) == a.Group }
 
 // Groups returns the number of groups of at most width endpoints in the data centre of this instance, at least 1.
 func (p *Pool) Groups(width int) int {
@@ -138,7 +137,9 @@
 	if !slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil }) {
 		return false
 	}
-	return !slices.ContainsFunc(p.orderedEndpoints, func(e *endpointState) bool { return e.freeSlots() > 0 && e.available(now) })
+	return !slices.ContainsFunc(p.orderedEndpoints, func(e *endpointState) bool {
+		return e.Centre == p.o.Centre && e.freeSlots() > 0 && e.available(now)
+	})
 }
 
 // lend counts the place of a grant as lent to the holder of an ask. The grant is not to be released.
@@ -307,56 +308,66 @@
 	return n
 }
 
-// redirect returns the other data centre with the most room for an ask, and charges it. The keepers of all other data centres may
-// use the room of one, so each takes an equal part.
-func (p *Pool) redirect(now time.Time) (Redirect, bool) {
-	var centre core.DataCentre
+// openRooms drops outdated statements of rooms, and returns the data centres that may still get asks. The keepers of all
+// other data centres may use the room of one, so each takes an equal part.
+func (p *Pool) openRooms(now time.Time) []core.DataCentre {
+	open := p.roomsBuffer[:0]
 	for c, r := range p.rooms {
 		if now.Sub(r.at) > roomValidity {
 			delete(p.rooms, c)
-		} else if best := p.rooms[centre]; best == nil || r.free > best.free || r.free == best.free && c < centre {
-			centre = c
+		} else if r.free >= len(p.rooms) {
+			open = append(open, c)
 		}
 	}
-	r := p.rooms[centre]
-	if r == nil || r.free < len(p.rooms) {
-		return Redirect{}, false
-	}
-	r.free -= len(p.rooms)
-	return Redirect{Centre: centre}, true
+	p.roomsBuffer = open
+	return open
+}
+
+// redirect returns the decision to ask in another data centre, and charges its room.
+func (p *Pool) redirect(c core.DataCentre) Redirect {
+	p.rooms[c].free -= len(p.rooms)
+	return Redirect{Centre: c}
 }
 
 // decideAsk decides an ask as decide does a request of this instance. The keeper knows the load of its endpoints, so it needs no assumptions
-// about what others do meanwhile.
+// about what others do meanwhile. Another data centre is asked if it has room and, by its last reports, a better endpoint.
 func (p *Pool) decideAsk(now time.Time, t *Ticket) Decision {
 	if !now.Before(t.req.Deadline) {
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
+	var rooms []core.DataCentre
+	if !t.ask.Final {
+		rooms = p.openRooms(now)
+	}
 	var chosen *endpointState
 	var lowest time.Duration
-	usable := false
+	usable, elsewhere := false, false
 	avoidPauses := p.askReadsWithoutPause(now, t)
 	for _, e := range p.orderedEndpoints {
-		if !t.ask.covers(e, p.o.Centre) || !e.available(now) || slices.Contains(t.req.Exclude, e.ID) {
+		near := e.Centre == p.o.Centre
+		if !t.ask.covers(e) || !e.available(now) || slices.Contains(t.req.Exclude, e.ID) {
 			continue
 		}
-		usable = true
-		if e.freeSlots() <= 0 || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
+		usable = usable || near
+		if e.freeSlots() <= 0 {
+			continue
+		}
+		elsewhere = elsewhere || !near
+		if !near && !slices.Contains(rooms, e.Centre) || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
 		if s := p.score(now, e, &t.req); chosen == nil || s < lowest {
 			chosen, lowest = e, s
 		}
 	}
-	if chosen != nil {
+	switch {
+	case chosen != nil && chosen.Centre == p.o.Centre:
 		return p.grant(now, chosen, t)
-	}
-	if !t.ask.Final {
-		if r, ok := p.redirect(now); ok {
-			return r
-		}
-	}
-	if !usable {
+	case chosen != nil:
+		return p.redirect(chosen.Centre)
+	case len(rooms) > 0: // the reports do not show it yet
+		return p.redirect(lo.MaxBy(rooms, func(a, b core.DataCentre) bool { return p.rooms[a].free > p.rooms[b].free }))
+	case !usable || elsewhere && !t.ask.Final && len(p.rooms) == 0: // without keepers elsewhere, the holder decides by reports
 		return Redirect{}
 	}
 	if r, refused := p.refuse(now, t, true, t.req.Exclude); refused {
@@ -371,7 +382,7 @@
 		return false
 	}
 	for _, e := range p.orderedEndpoints {
-		if t.ask.covers(e, p.o.Centre) && e.available(now) && !p.interrupts(now, e, &t.req) {
+		if e.Centre == p.o.Centre && t.ask.covers(e) && e.available(now) && !p.interrupts(now, e, &t.req) {
 			return true
 		}
 	}
--- a/core/pool/lent_test.go
+++ b/core/pool/lent_test.go
@@ -15,6 +15,7 @@
 type keepers struct {
 	asks map[pool.AskID]*simulatedAsk
 	next uint64
+	held map[pool.PlaceID]bool
 }
 
 // simulatedAsk is an ask that has no decision yet.
@@ -23,7 +24,8 @@
 	ticket         *pool.Ticket
 	lent           *pool.Ticket // at the keeper
 	req            pool.Request
-	since          time.Time // when it was made, or last had a sign of the keeper
+	received       bool      // by the keeper
+	answered       time.Time // when it was decided; zero before
 }
 
 const (
@@ -44,6 +46,7 @@
 }
 
 func (o simulatedObserver) PlaceFreed(id pool.PlaceID, served bool) {
+	delete(o.s.keepers.held, id)
 	o.s.toKeeper(id, func(k *pool.Pool) {
 		k.LentFreed(o.s.now, o.s.origin(o.holder, int(id.Keeper-1)), o.s.askID(o.holder, id.Number), served)
 		o.s.answer(int(id.Keeper - 1))
@@ -68,7 +71,7 @@
 	o := pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977}
 	if s.keeperDown != nil {
 		if s.keepers == nil {
-			s.keepers = &keepers{asks: map[pool.AskID]*simulatedAsk{}}
+			s.keepers = &keepers{asks: map[pool.AskID]*simulatedAsk{}, held: map[pool.PlaceID]bool{}}
 		}
 		o.Keeper, o.Places = pool.KeeperID(i+1), simulatedObserver{s, i}
 	}
@@ -82,7 +85,7 @@
 
 // down reports whether an instance, one of the first keepers, is down.
 func (s *simulation) down(i int, at time.Time) bool {
-	return i < s.centres && s.keeperDown(i, at.Sub(begin).Seconds())
+	return s.keeperDown != nil && i < s.centres && s.keeperDown(i, at.Sub(begin).Seconds())
 }
 
 // keeperOf returns the instance that others take for the keeper of a data centre.
@@ -93,9 +96,25 @@
 	return centre
 }
 
+// deliver delivers a message.
+func (s *simulation) deliver(do func()) {
+	n := 1
+	if s.lossy {
+		switch s.rng.IntN(20) {
+		case 0:
+			n = 0
+		case 1:
+			n = 2
+		}
+	}
+	for range n {
+		s.after(s.messageDelay(), do)
+	}
+}
+
 // toKeeper delivers a message to the keeper that has granted a place.
 func (s *simulation) toKeeper(id pool.PlaceID, do func(k *pool.Pool)) {
-	s.after(s.messageDelay(), func() {
+	s.deliver(func() {
 		if i := int(id.Keeper - 1); !s.down(i, s.now) {
 			do(s.pools[i])
 		}
@@ -117,13 +136,12 @@
 	s.keepers.next++
 	id := s.askID(a.holder, s.keepers.next)
 	s.keepers.asks[id] = a
-	a.since = s.now
 	k := a.keeper
-	s.after(s.messageDelay(), func() {
-		if s.down(k, s.now) || s.keepers.asks[id] == nil {
+	s.deliver(func() {
+		if s.down(k, s.now) || a.received {
 			return
 		}
-		a.since = s.now
+		a.received = true
 		a.lent = s.pools[k].Lend(s.now, pool.Ask{ID: id, Origin: s.origin(a.holder, k), Own: a.holder == k, Final: final}, a.req)
 		s.answer(k)
 	})
@@ -134,7 +152,7 @@
 func (s *simulation) checkAsk(id pool.AskID, a *simulatedAsk) {
 	switch {
 	case s.keepers.asks[id] == nil:
-	case !s.down(a.keeper, s.now):
+	case a.received && !s.down(a.keeper, s.now) && (a.answered.IsZero() || s.now.Sub(a.answered) < 6*askTimeout):
 		s.after(askTimeout, func() { s.checkAsk(id, a) })
 	default:
 		delete(s.keepers.asks, id)
@@ -151,11 +169,14 @@
 		return
 	}
 	for _, d := range s.pools[k].TakeDecided() {
-		delay := s.messageDelay()
+		if a := s.keepers.asks[d.ID]; a != nil {
+			a.answered = s.now
+		}
 		if d.Own {
-			delay = 0
+			s.receive(k, d)
+		} else {
+			s.deliver(func() { s.receive(k, d) })
 		}
-		s.after(delay, func() { s.receive(k, d) })
 	}
 }
 
@@ -164,19 +185,29 @@
 	a := s.keepers.asks[d.ID]
 	delete(s.keepers.asks, d.ID)
 	handBack := func() {
-		s.after(s.messageDelay(), func() { s.pools[k].LentFreed(s.now, d.Origin, d.ID, false); s.answer(k) })
+		s.deliver(func() {
+			if !s.down(k, s.now) {
+				s.pools[k].LentFreed(s.now, d.Origin, d.ID, false)
+				s.answer(k)
+			}
+		})
 	}
 	g, granted := d.Decision.(*pool.Grant)
+	place := pool.PlaceID{Keeper: pool.KeeperID(k + 1), Number: d.ID.Number}
 	switch {
 	case a == nil && granted && d.Own:
 		s.pools[k].Release(s.now, g, pool.Cancelled)
 	case a == nil && granted:
-		handBack()
+		if !s.keepers.held[place] {
+			handBack()
+		}
 	case a == nil:
 	case granted && d.Own:
 		s.pools[k].Decide(a.ticket, g)
 	case granted:
-		if s.pools[a.holder].Adopt(s.now, a.ticket, g.Kept(pool.PlaceID{Keeper: pool.KeeperID(k + 1), Number: d.ID.Number})) != pool.Adopted {
+		if s.pools[a.holder].Adopt(s.now, a.ticket, g.Kept(place)) == pool.Adopted {
+			s.keepers.held[place] = true
+		} else {
 			handBack()
 			s.pools[a.holder].Enqueue(s.now, a.ticket, "test")
 		}
@@ -184,8 +215,7 @@
 		r, redirected := d.Decision.(pool.Redirect)
 		switch {
 		case redirected && r.Centre != "":
-			a.keeper = s.keeperOf(int(r.Centre[0] - 'a'))
-			s.ask(a, true)
+			s.ask(&simulatedAsk{holder: a.holder, keeper: s.keeperOf(int(r.Centre[0] - 'a')), ticket: a.ticket, req: a.req}, true)
 		case redirected:
 			s.pools[a.holder].Enqueue(s.now, a.ticket, "test")
 		default:
@@ -261,3 +291,45 @@
 		})
 	}
 }
+
+// Keepers fail while requests are served. Guards against requests that are never decided, against requests that wait at engines once
+// another keeper grants, and against lent places that are never freed.
+func TestKeeperFailures(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		down  func(centre int, s float64) bool
+		lossy bool
+	}{
+		{"killed", func(_ int, s float64) bool { return s >= 1.5 }, false},
+		{"one of them killed", func(c int, s float64) bool { return c == 1 && s >= 1.5 }, false},
+		{"silent for a moment", func(_ int, s float64) bool { return s >= 1.5 && s < 1.8 }, false},
+		{"silent until replaced, then back", func(_ int, s float64) bool { return s >= 1 && s < 2 }, false},
+		{"messages lost and repeated", neverDown, true},
+		{"killed while messages are lost and repeated", func(_ int, s float64) bool { return s >= 1.5 }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := gridCluster()
+			f.keeperDown, f.lossy = c.down, c.lossy
+			s := run(13, f, 5*time.Second, gridLoad()...)
+			total, ended, ontime := 0, 0, 0
+			for _, k := range s.results {
+				total, ended, ontime = total+k.total, ended+k.ontime+k.late+k.refused+k.abandoned, ontime+k.ontime
+			}
+			t.Logf("on time %d of %d, sent and waited %v", ontime, total, s.windows)
+			g.Expect(ended).To(Equal(total))
+			for i, w := range s.windows {
+				if i >= 6 && i < 10 && !c.lossy { // more than 1 s after the failure
+					g.Expect(ratio(w[1], w[0])).To(BeNumerically("<", 0.05), "window %d", i)
+				}
+			}
+			for i, p := range s.pools {
+				if !s.down(i, s.now) {
+					g.Expect(p.Lent()).To(BeZero(), "instance %d", i)
+				}
+			}
+		})
+	}
+}
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -64,7 +64,8 @@
 	results  map[string]*result
 	// longestQueue is the largest number of requests that waited at one engine.
 	longestQueue int
-	sent, waited int // requests that reached an engine, and that had to wait there
+	sent, waited int      // requests that reached an engine, and that had to wait there
+	windows      [][2]int // sent and waited, by half a second
 	keepers      *keepers
 }
 
@@ -87,6 +88,8 @@
 	slowdowns []float64
 	// keeperDown reports whether the first keeper of a data centre is down at time s, in seconds; nil if there are no keepers.
 	keeperDown func(centre int, s float64) bool
+	// lossy loses one in 20 messages about places, and repeats another one.
+	lossy bool
 }
 
 const (
@@ -259,6 +262,11 @@
 		})
 	}
 	s.sent++
+	window := int(s.now.Sub(begin) / (500 * time.Millisecond))
+	for len(s.windows) <= window {
+		s.windows = append(s.windows, [2]int{})
+	}
+	s.windows[window][0]++
 	switch {
 	case s.running[id] < s.slots:
 		start()
@@ -266,6 +274,7 @@
 		return false
 	default:
 		s.waited++
+		s.windows[window][1]++
 		s.waiting[id] = append(s.waiting[id], start)
 		s.longestQueue = max(s.longestQueue, len(s.waiting[id]))
 	}
@@ -290,7 +299,7 @@
 // exchangeReport sends the report of one instance to those of its data centre.
 func (s *simulation) exchangeReport(end time.Time, i int) {
 	s.sendReport(i)
-	if s.now.Before(end) {
+	if s.now.Before(s.lastReport(end)) {
 		s.after(s.cluster.reportInterval, func() { s.exchangeReport(end, i) })
 	}
 }
@@ -298,8 +307,11 @@
 // sendReport sends the report of an instance to all others, or only to those of its data centre if there are sums.
 func (s *simulation) sendReport(i int) {
 	r := s.pools[i].TakeReport()
+	if s.down(i, s.now) {
+		return
+	}
 	for j, other := range s.pools {
-		if same := i%s.centres == j%s.centres; j != i && (same || s.summaryInterval == 0) {
+		if same := i%s.centres == j%s.centres; j != i && (same || s.summaryInterval == 0) && !s.down(j, s.now) {
 			s.after(reportDelay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint(i)), same, r) })
 		}
 	}
@@ -307,7 +319,11 @@
 
 // exchangeSums sends the sum of a data centre to the instances elsewhere, one of which passes it on with its next report.
 func (s *simulation) exchangeSums(end time.Time, c int) {
-	r := s.pools[c].CentreReport(s.now)
+	relay := c
+	if s.keepers != nil {
+		relay = s.keeperOf(c)
+	}
+	r := s.pools[relay].CentreReport(s.now)
 	delay := reportDelay + time.Duration(s.rng.Int64N(int64(s.reportInterval)))
 	for j, other := range s.pools {
 		if j%s.centres != c {
@@ -315,11 +331,19 @@
 			s.after(delay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint("centre ", c)), false, r) })
 		}
 	}
-	if s.now.Before(end) {
+	if s.now.Before(s.lastReport(end)) {
 		s.after(s.summaryInterval, func() { s.exchangeSums(end, c) })
 	}
 }
 
+// lastReport returns when the last reports are sent. With keepers, those after the end show which places are free.
+func (s *simulation) lastReport(end time.Time) time.Time {
+	if s.keepers != nil {
+		return end.Add(30 * time.Second) // the longest requests last 20 s
+	}
+	return end
+}
+
 // tick calls Tick on all pools every 5 ms, until 5 s after end.
 func (s *simulation) tick(end time.Time) {
 	for i, p := range s.pools {
@@ -328,7 +352,7 @@
 		}
 		s.answer(i)
 	}
-	if s.now.Before(end.Add(5 * time.Second)) {
+	if s.now.Before(end.Add(5*time.Second)) || s.now.Before(s.lastReport(end)) {
 		s.after(5*time.Millisecond, func() { s.tick(end) })
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -218,6 +218,7 @@
 	lent            map[core.InstanceID]*originPlaces // by the sender of the reports that show their requests
 	lastAsks        time.Time                         // when assign last went through the whole queue, asks included
 	rooms           map[core.DataCentre]*room         // in the other data centres
+	roomsBuffer     []core.DataCentre                 // reused by openRooms
 	decidedAsks     []DecidedAsk                      // since TakeDecided
 }
 
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -105,6 +105,7 @@
 	keepers  map[placesKey]keeper
 	far      map[core.DataCentre]map[placesKey]keeper
 	granters map[pool.KeeperID]keeper // that this instance has got places of
+	held     map[pool.PlaceID]bool    // granted by others
 	outbox   map[string]*outgoing     // by address
 	resolved map[string]*net.UDPAddr
 
@@ -119,7 +120,7 @@
 		// Numbers differ from those of the processes before, whose places keepers may still count.
 		asker:    places.NewAsker[*heldAsk](uint64(g.start.UnixMilli()) << 20),
 		byTicket: map[*pool.Ticket]uint64{}, pending: map[pool.AskID]*pendingAsk{}, groups: map[route.Service]int{}, keepers: map[placesKey]keeper{},
-		far: map[core.DataCentre]map[placesKey]keeper{}, granters: map[pool.KeeperID]keeper{}, outbox: map[string]*outgoing{}, resolved: map[string]*net.UDPAddr{},
+		far: map[core.DataCentre]map[placesKey]keeper{}, granters: map[pool.KeeperID]keeper{}, held: map[pool.PlaceID]bool{}, outbox: map[string]*outgoing{}, resolved: map[string]*net.UDPAddr{},
 	}
 	k.asker.OnDoubt = func(id core.InstanceID, doubted bool) {
 		g.log.Info("keeper doubted", "keeper", id, "doubted", doubted)
@@ -521,20 +522,24 @@
 			k.count("returned")
 			k.addEnded(now, m.Address, s, freedDelay, func(e *wire.Ended) { e.Unserved = append(e.Unserved, a.Number) })
 		}
+		place := pool.PlaceID{Keeper: granter.id, Number: uint64(a.Number)}
 		h, ok := k.end(from, uint64(a.Number))
 		switch {
 		case !ok:
-			if a.Endpoint != "" {
+			if a.Endpoint != "" && !k.holds(place) { // else the answer has arrived twice
 				handBack("")
 			}
 		case a.Endpoint != "":
-			switch h.pool.Adopt(now, h.ticket, decodeGrant(granter.id, a)) {
+			k.hold(place, true) // before the request may end
+			adoption := h.pool.Adopt(now, h.ticket, decodeGrant(place, a))
+			if adoption != pool.Adopted {
+				k.hold(place, false)
+				handBack(h.service)
+			}
+			switch adoption {
 			case pool.Adopted:
 				k.granted(now, h)
-			case pool.Late:
-				handBack(h.service)
 			case pool.Unfit:
-				handBack(h.service)
 				h.req.Exclude = append(slices.Clone(h.req.Exclude), core.EndpointID(a.Endpoint))
 				if h.tries++; h.tries < maxAskTries {
 					k.ask(now, h, granter, granter.centre != k.g.o.Settings.Centre)
@@ -554,6 +559,23 @@
 	}
 }
 
+// hold records that a place is held, or is no longer.
+func (k *keptPlaces) hold(id pool.PlaceID, held bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if held {
+		k.held[id] = true
+	} else {
+		delete(k.held, id)
+	}
+}
+
+func (k *keptPlaces) holds(id pool.PlaceID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held[id]
+}
+
 // tick does what is due by time alone. It runs on the control goroutine.
 func (k *keptPlaces) tick(now time.Time) {
 	if k.mode == PlacesOff {
@@ -724,6 +746,7 @@
 
 // PlaceFreed implements pool.PlaceObserver.
 func (o placeObserver) PlaceFreed(id pool.PlaceID, served bool) {
+	o.k.hold(id, false)
 	o.tell(id, freedDelay, func(e *wire.Ended) {
 		if served {
 			e.Served = append(e.Served, int(id.Number))
@@ -792,10 +815,10 @@
 }
 
 // decodeGrant converts the grant of a keeper from its wire format.
-func decodeGrant(id pool.KeeperID, w *wire.Answer) pool.KeptGrant {
+func decodeGrant(id pool.PlaceID, w *wire.Answer) pool.KeptGrant {
 	bounded := func(n int) int { return min(max(n, 0), maxFigure) }
 	return pool.KeptGrant{
-		Place: pool.PlaceID{Keeper: id, Number: uint64(w.Number)}, Endpoint: core.EndpointID(w.Endpoint), ExpectedLatency: milliseconds(bounded(w.First)),
+		Place: id, Endpoint: core.EndpointID(w.Endpoint), ExpectedLatency: milliseconds(bounded(w.First)),
 		ExpectedDuration: milliseconds(bounded(w.Last)), RunningAtEndpoint: bounded(w.Running), Backlog: core.Tokens(bounded(w.Ahead)), State: decodeState(w),
 	}
 }
