--- a/core/pool/admission.go
+++ b/core/pool/admission.go
@@ -294,17 +294,22 @@
 			kept = append(kept, t)
 			continue
 		}
-		t.closed = true
 		p.recordWait(now, t, p.wait(now, &t.req, onTime))
-		g, ok := p.decide(now, t).(*Grant)
-		if t.recordRefused(!ok); ok { // late requests may use endpoints that others avoid
-			t.Decided <- g
+		decide := p.decide
+		if t.ask != nil {
+			decide = p.decideAsk
+		}
+		d := decide(now, t)
+		_, refused := d.(Refusal)
+		refused = refused || d == nil
+		if t.recordRefused(refused); !refused { // late requests may use endpoints that others avoid
+			p.end(t, d)
 			continue
 		}
 		p.admission.refused.add(now)
 		state := p.state(now)
 		state.PredictedWait = max(t.expectedWait, 0)
-		t.Decided <- Refusal{RetryAfter: p.retryAfter(now, ahead, p.spareRate(now, onTime)), Reason: Overload, State: state}
+		p.end(t, Refusal{RetryAfter: p.retryAfter(now, ahead, p.spareRate(now, onTime)), Reason: Overload, State: state, Decider: t.local})
 	}
 	clear(p.queue[len(kept):])
 	p.queue = kept
@@ -348,7 +353,7 @@
 func (p *Pool) halfFree(now time.Time, req *Request) bool {
 	free, slots := 0, 0
 	for _, e := range p.orderedEndpoints {
-		if e.available(now) && !slices.Contains(req.Exclude, e.ID) && req.allows(e.ID) {
+		if p.serves(e) && e.available(now) && !slices.Contains(req.Exclude, e.ID) && req.allows(e.ID) {
 			free += max(e.freeSlots(), 0)
 			slots += e.capacity()
 		}
@@ -363,7 +368,7 @@
 	}
 	slots := 0
 	for _, e := range p.orderedEndpoints {
-		if e.available(now) {
+		if p.serves(e) && e.available(now) {
 			slots += max(e.capacity(), 0)
 		}
 	}
@@ -395,6 +400,9 @@
 
 // demandAtPeers returns the requests a second of the other instances.
 func (p *Pool) demandAtPeers() float64 {
+	if p.keeping { // they ask here
+		return 0
+	}
 	rate := 0.0
 	for _, pr := range p.peers {
 		rate += pr.rate.value
@@ -402,6 +410,9 @@
 	return rate
 }
 
+// serves reports whether the queued requests may get an endpoint here: a keeper has those of its data centre.
+func (p *Pool) serves(e *endpointState) bool { return !p.keeping || e.Centre == p.o.Centre }
+
 // missesObjective reports whether a request would miss its objective even at the fastest available endpoint, after the
 // requests ahead of it have got a slot: onTimeBefore of this instance, and those of other instances. If no endpoint is available, only
 // this wait counts.
@@ -438,7 +449,7 @@
 func (p *Pool) fastestFirst(now time.Time, req *Request) time.Duration {
 	fastest := time.Duration(-1)
 	for _, e := range p.orderedEndpoints {
-		if e.available(now) {
+		if p.serves(e) && e.available(now) {
 			if f, _ := p.model.predict(now, e, req); fastest < 0 || f < fastest {
 				fastest = f
 			}
@@ -450,6 +461,9 @@
 // aheadAtPeers estimates how many requests that are queued at other instances go before one of a tier: those of more urgent tiers, and half of
 // those of its own.
 func (p *Pool) aheadAtPeers(t core.Tier) float64 {
+	if p.keeping { // they wait here
+		return 0
+	}
 	n := float64(p.moreUrgentAtPeers(t))
 	if int(t) < len(p.waitingAtPeers) && t >= 0 {
 		n += float64(p.waitingAtPeers[t]) / 2
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -85,12 +85,29 @@
 		p.sumPeerLoads(now)
 	}
 	p.unreportedRequests = -1
+	p.keeping = slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil })
 	p.admission.drain = p.drainRate(now)
+	recent := now.Sub(p.lastAsks) < askInterval
+	if !recent {
+		p.lastAsks = now
+	}
+	taken := true // a place may have been taken since it was checked whether one is free
+	complete := true
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
-	for _, t := range p.queue {
-		switch decision := p.decide(now, t); d := decision.(type) {
+	for i, t := range p.queue {
+		if recent && taken && p.full(now) {
+			kept = append(kept, p.queue[i:]...)
+			complete = false
+			break
+		}
+		taken = false
+		decide := p.decide
+		if t.ask != nil {
+			decide = p.decideAsk
+		}
+		switch d := decide(now, t).(type) {
 		case nil:
 			if !t.late && p.missesObjective(now, t, onTimeBefore) && !p.keepsPromise(now, t) {
 				t.late = true
@@ -102,14 +119,16 @@
 			}
 			kept = append(kept, t)
 		case Refusal:
-			d.State = p.state(now)
-			t.closed = true
-			t.Decided <- d
+			d.State, d.Decider = p.state(now), t.local
+			p.end(t, d)
 		case *Grant:
 			p.recordWait(now, t, 0)
 			t.recordRefused(false)
-			t.closed = true
-			t.Decided <- d
+			taken = true
+			p.end(t, d)
+		default:
+			taken = true
+			p.end(t, d)
 		}
 	}
 	clear(p.queue[len(kept):])
@@ -117,7 +136,20 @@
 	for _, t := range newlyLate {
 		p.enqueue(t)
 	}
-	p.refuseLate(now, onTimeBefore)
+	if complete {
+		p.refuseLate(now, onTimeBefore)
+	}
+}
+
+// end passes a decision on to the one that waits for it.
+func (p *Pool) end(t *Ticket, d Decision) {
+	t.closed = true
+	if t.ask == nil {
+		t.Decided <- d
+		return
+	}
+	p.decidedAsks = append(p.decidedAsks, DecidedAsk{*t.ask, d})
+	p.o.Places.AskDecided()
 }
 
 // decide returns a grant, a refusal, or nil if the request stays in the queue.
@@ -141,9 +173,9 @@
 		if !usable || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		c := candidate{endpointState: e, freeInReports: e.capacity() - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		c := candidate{endpointState: e, freeInReports: e.capacity() - e.lent - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
-			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning, 0), 0
+			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning-e.lent, 0), 0
 		}
 		if t.req.Returning && c.freeInReports+c.netReleased <= 0 {
 			c.freeInReports, c.netReleased = 1, 0
@@ -285,12 +317,16 @@
 func (p *Pool) grant(now time.Time, e *endpointState, t *Ticket) *Grant {
 	first, last := p.model.predict(now, e, &t.req)
 	g := &Grant{
-		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now),
+		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now), Decider: t.local,
 		endpointState: e, req: t.req, sent: now, promptBacklog: e.promptBacklog() + t.req.Prompt,
 	}
 	if e.consecutiveSuspensions > 0 {
 		g.probe, e.probing = true, true
 	}
+	if t.ask != nil && !t.ask.Own {
+		p.lend(t.ask, g)
+		return g
+	}
 	e.ownRunning++
 	e.pendingPrompt += t.req.Prompt
 	return g
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"monsoondale/core"
@@ -83,6 +84,7 @@
 	RetryAfter time.Duration
 	Reason     string
 	State      State
+	Decider    string // see Grant
 }
 
 // State summarises the pool at the time of a decision.
@@ -107,6 +109,8 @@
 	// RunningAtEndpoint is the known number of requests of all instances at the endpoint just before the grant.
 	RunningAtEndpoint int
 	State             State
+	// Decider is the keeper, or why this instance has decided although there is one; empty if there is none.
+	Decider string
 
 	endpointState *endpointState
 	req           Request
@@ -117,6 +121,7 @@
 	responseBegan bool    // the response has begun
 	slowness      float64 // stated in the response; 0 if not
 	probe         bool    // the endpoint is being probed after a suspension
+	place         PlaceID // zero if this instance has decided itself
 }
 
 func (*Grant) decision()  {}
@@ -168,6 +173,8 @@
 	closed       bool       // decided or withdrawn; no longer in the queue
 	// spare marks a request that another endpoint is working on, so that it is not refused if it gets none.
 	spare bool
+	ask   *Ask   // that this instance decides as a keeper; nil for other requests
+	local string // why this instance decides, not a keeper; empty if there is none
 }
 
 // Options configures a Pool.
@@ -177,6 +184,10 @@
 	Seed uint64
 	// Log receives a line for each endpoint that is suspended or available again.
 	Log logr.Logger
+	// Keeper is the id of this instance as a keeper, and Places is told of places of other keepers and of decided asks. Both are unset if
+	// there are no keepers.
+	Keeper KeeperID
+	Places PlaceObserver
 }
 
 // streamIntervalWeight is the weight of the newest stream in an endpoint's mean time between events.
@@ -191,7 +202,7 @@
 	mu                 sync.Mutex
 	o                  Options
 	endpoints          map[core.EndpointID]*endpointState
-	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance run there
+	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance, or at lent places, run there
 	notices            map[core.EndpointID]*noticeState
 	orderedEndpoints   []*endpointState // by id
 	queue              []*Ticket        // in the order of precedes
@@ -215,11 +226,17 @@
 	// assumedPosition is a random position of this instance in the order of sending, from 0 to 1, which is drawn anew for
 	// each report. chooseEndpoint uses it.
 	assumedPosition float64
+	lent            map[core.InstanceID]*originPlaces // by the sender of the reports that show their requests
+	keeping         bool                              // asks are queued, see Lend; as of the present call of assign
+	lastAsks        time.Time                         // when assign last went through the whole queue, asks included
+	rooms           map[core.DataCentre]*room         // in the other data centres
+	roomsBuffer     []core.DataCentre                 // reused by openRooms
+	decidedAsks     []DecidedAsk                      // since TakeDecided
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, gone: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]*peerReport{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, gone: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]*peerReport{}, lent: map[core.InstanceID]*originPlaces{}, rooms: map[core.DataCentre]*room{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // SetEndpoints replaces the list of endpoints. Requests at endpoints that are no longer listed continue, and occupy their slots
@@ -235,7 +252,7 @@
 			e = p.gone[entry.ID]
 		}
 		if e == nil || e.Address != entry.Address || e.Incarnation != entry.Incarnation {
-			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now}
+			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now, hash: xxhash.Sum64String(string(entry.ID))}
 		}
 		p.endpoints[entry.ID] = e
 		delete(p.gone, entry.ID)
@@ -251,7 +268,7 @@
 	for id, e := range p.endpoints {
 		if !listed[id] {
 			delete(p.endpoints, id)
-			if e.ownRunning > 0 {
+			if e.ownRunning > 0 || e.lent > 0 {
 				p.gone[id] = e
 			}
 			continue
@@ -329,6 +346,9 @@
 		g.endpointState.recordResponse(now)
 	})
 	g.endpointState.pendingPrompt -= g.req.Prompt
+	if g.place != (PlaceID{}) {
+		p.o.Places.PlaceBegan(g.place)
+	}
 	g.endProbe()
 	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
 	p.model.addSample(g.endpointState, s)
@@ -390,9 +410,8 @@
 	defer p.mu.Unlock()
 	e := g.endpointState
 	e.ownRunning--
-	if e.ownRunning == 0 && p.gone[e.ID] == e {
-		delete(p.gone, e.ID)
-	}
+	p.releasePlace(g, o == Served || o == ServerError)
+	p.forgetGone(e)
 	switch {
 	case !g.responseBegan:
 		e.pendingPrompt -= g.req.Prompt
@@ -413,6 +432,13 @@
 	p.assign(now)
 }
 
+// forgetGone forgets an endpoint that is no longer listed once no requests that are counted here run there.
+func (p *Pool) forgetGone(e *endpointState) {
+	if e.ownRunning == 0 && e.lent == 0 && p.gone[e.ID] == e {
+		delete(p.gone, e.ID)
+	}
+}
+
 // endProbe lets the next request probe the endpoint of a grant.
 func (g *Grant) endProbe() {
 	if g.probe {
