--- a/commands/commands.go
+++ b/commands/commands.go
@@ -34,21 +34,22 @@
 
 // cli defines the commands and their flags for kong.
 type cli struct {
-	Serve    serveCmd    `cmd:"" help:"Run an instance."`
-	Gateway  gatewayCmd  `cmd:"" help:"Run an instance on the users' platform."`
-	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
-	Apply    applyCmd    `cmd:"" help:"Create or replace templates and workspaces."`
-	Get      getCmd      `cmd:"" help:"Print a template or workspace, or list them."`
-	Delete   deleteCmd   `cmd:"" help:"Delete a template or workspace."`
-	Status   statusCmd   `cmd:"" help:"Show the configuration in force on each instance."`
-	History  historyCmd  `cmd:"" help:"List changes of templates and workspaces."`
-	Report   reportCmd   `cmd:"" help:"Print what became of the requests."`
-	Fleet    fleetCmd    `cmd:"" help:"Show the state of a fleet of gateways, as their logs tell it."`
-	Parts    partsCmd    `cmd:"" help:"List or release the parts of prompts that a fleet of gateways has quarantined."`
-	Explain  explainCmd  `cmd:"" help:"Print what the logs of instances tell of a request."`
-	Validate validateCmd `cmd:"" help:"Check settings, templates and workspaces without a server."`
-	Codes    codesCmd    `cmd:"" help:"Print the table of result codes."`
-	Demo     demoCmd     `cmd:"" help:"Run two small deployments in this process and check every count."`
+	Serve     serveCmd     `cmd:"" help:"Run an instance."`
+	Gateway   gatewayCmd   `cmd:"" help:"Run an instance on the users' platform."`
+	Standin   standinCmd   `cmd:"" help:"Run a stand-in of an outside system, for tests."`
+	Apply     applyCmd     `cmd:"" help:"Create or replace templates and workspaces."`
+	Get       getCmd       `cmd:"" help:"Print a template or workspace, or list them."`
+	Delete    deleteCmd    `cmd:"" help:"Delete a template or workspace."`
+	Status    statusCmd    `cmd:"" help:"Show the configuration in force on each instance."`
+	History   historyCmd   `cmd:"" help:"List changes of templates and workspaces."`
+	Report    reportCmd    `cmd:"" help:"Print what became of the requests."`
+	Fleet     fleetCmd     `cmd:"" help:"Show the state of a fleet of gateways, as their logs tell it."`
+	Parts     partsCmd     `cmd:"" help:"List or release the parts of prompts that a fleet of gateways has quarantined."`
+	Endpoints endpointsCmd `cmd:"" help:"List the endpoints that an instance knows, with their limits and loads."`
+	Explain   explainCmd   `cmd:"" help:"Print what the logs of instances tell of a request."`
+	Validate  validateCmd  `cmd:"" help:"Check settings, templates and workspaces without a server."`
+	Codes     codesCmd     `cmd:"" help:"Print the table of result codes."`
+	Demo      demoCmd      `cmd:"" help:"Run two small deployments in this process and check every count."`
 
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the commands that turn on completion in your login shell."`
 }
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"monsoondale/common/boundlog"
+	"monsoondale/core/pool"
 	"monsoondale/gateway"
 	"monsoondale/platform"
 )
@@ -39,9 +40,13 @@
 
 // gatewayCmd runs an instance on the users' platform.
 type gatewayCmd struct {
+	Limits   string `enum:"learned,slots" default:"learned" help:"How many requests an endpoint gets at once: as many as it is found to take well (learned), or as many as it states (slots)."`
 	Settings string `type:"path" predictor:"file" help:"Settings file of the platform; default: the one that the platform names in the environment."`
 }
 
+// limitModes are the values of --limits.
+var limitModes = map[string]pool.Limits{"learned": pool.LearnedLimits, "slots": pool.SlotLimits}
+
 // Run runs the gateway until SIGTERM or SIGINT, which start a graceful shutdown. SIGHUP reloads the settings.
 func (c *gatewayCmd) Run(s *streams) error {
 	// A signal is dropped if its channel is full, so that SIGHUPs must not share one with SIGTERM.
@@ -71,7 +76,8 @@
 	log.Info("starting", "instance", settings.Name, "centre", settings.Centre, "callers", settings.CallerAddress, "mesh", settings.MeshAddress,
 		"store", settings.StoreAddress, "memory", settings.MemoryLimit, "descriptors", settings.MaxDescriptors)
 	g, err := gateway.Start(gateway.Options{
-		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Headers: platform.HeaderCodec{}, RequestIDHeader: platform.RequestIDHeader, Log: log,
+		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Headers: platform.HeaderCodec{}, RequestIDHeader: platform.RequestIDHeader,
+		Limits: limitModes[c.Limits], Log: log,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start gateway")
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -81,6 +81,7 @@
 	if now.Sub(p.lastPeerSum) >= peerSumInterval {
 		p.sumPeerLoads(now)
 	}
+	p.updateLimits(now)
 	p.unreportedRequests = -1
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
@@ -134,7 +135,7 @@
 		if !usable || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		c := candidate{endpointState: e, freeInReports: e.capacity() - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		c := candidate{endpointState: e, freeInReports: e.capacity() - e.peerLoad.running - e.unknown - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
 			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning, 0), 0
 		}
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -63,10 +63,13 @@
 	ownRunning      int         // requests of this instance
 	pendingPrompt   core.Tokens // prompt tokens of this instance's requests without a first event
 	peerLoad        peerLoad
+	unknown         int // see statedLoad.unknownAt, as of the last updateLimits
 	reportedRunning int // value of ownRunning in this instance's last report
 	scoreOffset     time.Duration
 
 	stated        slowness
+	statedLoad    statedLoad
+	limits        limitState
 	slowdown      float64 // time to the first event relative to latencyModel and the stated slowness; higher is slower
 	samples       int     // first events measured here or reported by other instances
 	eventInterval average // nanoseconds between events
@@ -94,8 +97,22 @@
 // accepts reports whether the endpoint accepts requests, suspended or not.
 func (e *endpointState) accepts(now time.Time) bool { return !e.leaving() && !e.notice.closed(now) }
 
+// reportedLoad returns the number of requests of all instances according to their reports.
+func (e *endpointState) reportedLoad() int { return e.ownRunning + e.peerLoad.running }
+
 // totalRunning returns the number of requests of all instances.
-func (e *endpointState) totalRunning() int { return e.ownRunning + e.peerLoad.running }
+func (e *endpointState) totalRunning() int { return e.reportedLoad() + e.unknown }
+
+// slots returns the number of slots that the endpoint's entry states, or a higher one that it has stated since.
+func (e *endpointState) slots(now time.Time) int {
+	if l := &e.statedLoad; now.Sub(l.at) < maxStatedAge {
+		return max(e.Slots, l.Slots)
+	}
+	return e.Slots
+}
+
+// speed returns how quick the endpoint is relative to the usual one.
+func (e *endpointState) speed(now time.Time) float64 { return 1 / (e.slowdown * e.stated.value(now)) }
 
 // promptBacklog returns the prompt tokens of all instances' requests without a first event.
 func (e *endpointState) promptBacklog() core.Tokens {
@@ -103,7 +120,12 @@
 }
 
 // capacity returns the number of requests that the endpoint is to work on at once.
-func (e *endpointState) capacity() int { return e.Slots }
+func (e *endpointState) capacity() int {
+	if e.limits.limit > 0 {
+		return e.limits.limit
+	}
+	return e.Slots
+}
 
 // freeSlots returns the number of slots that no known request uses.
 func (e *endpointState) freeSlots() int { return e.capacity() - e.totalRunning() }
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -62,6 +62,8 @@
 	index    map[core.EndpointID]int
 	rng      *rand.Rand
 	results  map[string]*result
+	// waited counts the requests that found all slots of their engine taken.
+	waited int
 	// longestQueue is the largest number of requests that waited at one engine.
 	longestQueue int
 }
@@ -83,6 +85,7 @@
 	absentUntil   time.Duration
 	// slowdowns are the relative service times, assigned to the engines in rotation; higher is slower.
 	slowdowns []float64
+	limits    pool.Limits
 }
 
 const (
@@ -120,7 +123,7 @@
 		s.slowdown[list[i].ID] = f.slowdowns[i/s.centres%len(f.slowdowns)]
 	}
 	for i := range f.instances {
-		p := pool.New(pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977})
+		p := pool.New(pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977, Limits: f.limits})
 		p.SetEndpoints(begin, list[f.absentEngines:])
 		if f.absentEngines > 0 {
 			s.after(f.absentUntil+time.Duration(s.rng.Int64N(int64(listSpread))), func() { p.SetEndpoints(s.now, list) })
@@ -174,7 +177,7 @@
 	p := s.pools[s.rng.IntN(len(s.pools))]
 	req := pool.Request{
 		Tier: 1, Rank: w.rank, Prompt: w.prompt, MaxOutput: core.Tokens(simulatedEventTokens * max(1, int(float64(w.events)*s.rng.ExpFloat64()))),
-		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter),
+		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter), Stream: w.events > 1,
 	}
 	s.poll(w, p, p.Submit(s.now, req), req)
 }
@@ -226,7 +229,7 @@
 			}
 			s.after(step*time.Duration(n), func() {
 				done()
-				p.RecordEvents(granted, n, step*time.Duration(n))
+				p.RecordEvents(granted, n, step*time.Duration(n), 0)
 				p.Release(s.now, granted, pool.Served)
 			})
 		})
@@ -256,6 +259,7 @@
 	case s.engineQueueLimit > 0 && len(s.waiting[id]) >= s.engineQueueLimit:
 		return false
 	default:
+		s.waited++
 		s.waiting[id] = append(s.waiting[id], start)
 		s.longestQueue = max(s.longestQueue, len(s.waiting[id]))
 	}
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -63,6 +63,7 @@
 	PromptBacklog core.Tokens
 	Latency       time.Duration
 	Slowness      float64 // stated by the endpoint; 0 if not
+	Load          int     // requests there, as the endpoint stated; 0 if not
 }
 
 // maxReportEntries bounds the samples and, separately, the failures of a report. Usually there are only a few of each
@@ -80,6 +81,7 @@
 	// Samples and Failures cover the time since the last report. Failures has the endpoint of each attempt whose outcome
 	// was Broken, Unreachable, Silent or TimedOut.
 	Samples  []Sample
+	Work     []Work // likewise
 	Failures []core.EndpointID
 	// Age is the time since which the report is true on average; only for reports of a data centre.
 	Age time.Duration
@@ -92,9 +94,9 @@
 func (p *Pool) CentreReport(now time.Time) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Samples: p.centreSamples, Waiting: p.waitingByTier()}
+	r := Report{Samples: p.centreSamples, Work: p.centreWork, Waiting: p.waitingByTier()}
 	r.Late = len(p.queue) - lo.Sum(r.Waiting)
-	p.centreSamples = nil
+	p.centreSamples, p.centreWork = nil, nil
 	loads := map[core.EndpointID]Load{}
 	for _, e := range p.orderedEndpoints {
 		if e.ownRunning > 0 {
@@ -152,9 +154,9 @@
 func (p *Pool) TakeReport() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Samples: p.samples, Failures: p.failures, Waiting: p.waitingByTier()}
+	r := Report{Samples: p.samples, Work: p.newWork, Failures: p.failures, Waiting: p.waitingByTier()}
 	r.Late = len(p.queue) - lo.Sum(r.Waiting)
-	p.samples, p.failures = nil, nil
+	p.samples, p.newWork, p.failures = nil, nil, nil
 	p.assumedPosition = p.rng.Float64()
 	for _, e := range p.orderedEndpoints {
 		e.reportedRunning = e.ownRunning
@@ -186,6 +188,10 @@
 	for _, s := range r.Samples {
 		if e := p.endpoints[s.Endpoint]; e != nil {
 			e.stated.record(pr.at, s.Slowness)
+			if s.Load > 0 {
+				l := StatedLoad{Running: min(s.Load, e.Slots), Waiting: max(s.Load-e.Slots, 0), Slots: e.Slots, Slowness: s.Slowness}
+				e.statedLoad.record(now, l, e.reportedLoad(), toldGain)
+			}
 			p.model.addSample(e, s)
 			if sameCentre {
 				p.addCentreSample(s)
@@ -193,6 +199,14 @@
 			}
 		}
 	}
+	for _, w := range r.Work {
+		if e := p.endpoints[w.Endpoint]; e != nil {
+			p.addWork(pr.at, e, w)
+			if sameCentre {
+				p.addCentreWork(w)
+			}
+		}
+	}
 	for _, id := range r.Failures {
 		if e := p.endpoints[id]; e != nil && sameCentre {
 			p.updateAndLog(now, e, func() { e.recordPeerOutcome(now, since, true, p.rng) })
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -108,9 +108,13 @@
 	// promptBacklog is the number of prompt tokens that the endpoint processes before the first event, including those of
 	// this request.
 	promptBacklog core.Tokens
-	responseBegan bool    // the response has begun
-	slowness      float64 // stated in the response; 0 if not
-	probe         bool    // the endpoint is being probed after a suspension
+	responseBegan bool      // the response has begun
+	slowness      float64   // stated in the response; 0 if not
+	statedAt      time.Time // when it was stated
+	slownessSum   float64   // see slowness.until
+	statedLoad    int       // requests at the endpoint, as the response stated; 0 if not
+	interval      float64   // mean time between two events, in nanoseconds; 0 if not known
+	probe         bool      // the endpoint is being probed after a suspension
 }
 
 func (*Grant) decision()  {}
@@ -162,6 +166,7 @@
 // Options configures a Pool.
 type Options struct {
 	Centre core.DataCentre // of this instance
+	Limits Limits
 	// Seed makes instances with the same reports choose different endpoints.
 	Seed uint64
 	// Log receives a line for each endpoint that is suspended or available again.
@@ -197,9 +202,17 @@
 	samples            []Sample          // since the last report
 	centreSamples      []Sample          // of the data centre, since its last report
 	failures           []core.EndpointID // since the last report
-	meanPrompt         average           // prompt tokens of a request
-	candidates         []candidate       // reused by decide
-	serviceTime        average           // nanoseconds from grant to completion of a served request
+	newWork            []Work            // since the last report
+	centreWork         []Work            // of the data centre, since its last report
+	work               [loadBands]band   // of all endpoints
+	gapObjective       average           // nanoseconds
+	workVariance       average           // of the logarithm of the times in work
+	limitsUpdated      time.Time
+	exploring          int         // endpoints that are being measured at half of their slots
+	pauseRatio         average     // longest pause of a stream relative to its mean time between events
+	meanPrompt         average     // prompt tokens of a request
+	candidates         []candidate // reused by decide
+	serviceTime        average     // nanoseconds from grant to completion of a served request
 	rng                *rand.Rand
 	// assumedPosition is a random position of this instance in the order of sending, from 0 to 1, which is drawn anew for
 	// each report. chooseEndpoint uses it.
@@ -318,7 +331,7 @@
 	})
 	g.endpointState.pendingPrompt -= g.req.Prompt
 	g.endProbe()
-	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
+	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness, Load: g.statedLoad}
 	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
 		p.samples = append(p.samples, s)
@@ -358,15 +371,23 @@
 	return !e.lastHeard().After(t) && (e.streams > 0 || e.stalledAt.After(g.sent))
 }
 
-// RecordEvents records that a number of events of a stream took d, which updates the mean time between events.
-func (p *Pool) RecordEvents(g *Grant, events int, d time.Duration) {
+// RecordEvents records that a number of events of a stream took d, and the longest pause between two of them, which updates the mean
+// time between events.
+func (p *Pool) RecordEvents(g *Grant, events int, d, longest time.Duration) {
 	if events <= 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	interval := float64(d) / float64(events)
+	g.interval = interval
 	g.endpointState.eventInterval.add(interval, streamIntervalWeight)
+	if events >= minPauseEvents && interval > 0 {
+		p.pauseRatio.add(float64(longest)/interval, requestWeight)
+	}
+	if g.req.GapObjective > 0 {
+		p.gapObjective.add(float64(g.req.GapObjective), requestWeight)
+	}
 	if g.slowness > 0 {
 		p.model.eventInterval.add(interval/g.slowness, requestWeight)
 	}
@@ -377,6 +398,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := g.endpointState
+	if o == Served {
+		p.recordWork(now, g)
+	}
 	e.ownRunning--
 	if e.ownRunning == 0 && p.gone[e.ID] == e {
 		delete(p.gone, e.ID)
--- a/core/pool/stated_test.go
+++ b/core/pool/stated_test.go
@@ -28,7 +28,7 @@
 		p.RecordLoad(now, granted, pool.StatedLoad{Running: 1, Slots: slots, Slowness: s})
 		first := time.Duration(s * float64(26*time.Millisecond+18*time.Microsecond*time.Duration(req.Prompt)))
 		p.RecordFirstEvent(now.Add(first), granted)
-		p.RecordEvents(granted, 10, time.Duration(s*float64(200*time.Millisecond)))
+		p.RecordEvents(granted, 10, time.Duration(s*float64(200*time.Millisecond)), 0)
 		p.Release(now.Add(first), granted, pool.Served)
 		now = now.Add(500 * time.Millisecond)
 	}
@@ -64,7 +64,7 @@
 	g.Expect(short.Endpoint.ID).To(BeEquivalentTo("e00"))
 	g.Expect(decision(long)).To(BeNil())
 
-	p.RecordEvents(quick[0], 10, 110*time.Millisecond)
+	p.RecordEvents(quick[0], 10, 110*time.Millisecond, 0)
 	p.Release(now, quick[0], pool.Served)
 	g.Expect(grant(g, long).Endpoint.ID).To(BeEquivalentTo("e01"))
 	g.Expect(decision(next)).To(BeNil())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 	Headers  proxy.HeaderCodec
 	// RequestIDHeader is the response header in which endpoints repeat the request's id.
 	RequestIDHeader string
+	Limits          pool.Limits
 	Log             logr.Logger
 }
 
@@ -223,6 +224,7 @@
 	})
 	scrape.HandleFunc("GET /parts", g.listParts)
 	scrape.HandleFunc("DELETE /parts/{id}", g.releaseParts)
+	scrape.HandleFunc("GET /endpoints", g.listEndpoints)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -586,13 +588,15 @@
 	g.skipped[Endpoints].replace(g.log, Endpoints, odd)
 	for s := range lists {
 		if g.pools[s] == nil {
-			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s)})
+			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Limits: g.o.Limits, Log: g.log.WithValues("service", s)})
+			g.registerGauges(s, g.pools[s])
 		}
 	}
 	for s, p := range g.pools {
 		p.SetEndpoints(now, lists[s])
 		if len(lists[s]) == 0 && !g.uses(s) {
 			delete(g.pools, s)
+			g.unregisterGauges(s)
 		}
 	}
 	g.client.CloseIdleExcept(func(a string) bool { return addresses[a] })
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxFigure bounds each figure of a report: requests, tokens, milliseconds or percent.
+	// maxFigure bounds each figure of a report: requests, tokens, milliseconds, microseconds or percent.
 	maxFigure = 1 << 30
 	// maxReportAge bounds the age that a summary may state.
 	maxReportAge = 10 * time.Second
@@ -31,7 +31,8 @@
 
 // encodeReport converts the report of a pool to its wire format, in which the fields of the loads and of the samples are
 // parallel lists. Of the loads, Endpoints holds Endpoint, Running holds Running and Reading holds PendingPrompt. Of the
-// samples, Seen holds Endpoint, Ahead holds PromptBacklog, First holds Latency in milliseconds and Pace holds Slowness in percent.
+// samples, Seen holds Endpoint, Ahead holds PromptBacklog, First holds Latency in milliseconds and Pace holds Slowness in percent and Stated holds Load. Of the
+// measured work, Ran holds Endpoint, Beside holds Load and Took holds Time in microseconds.
 func encodeReport(s route.Service, r pool.Report) wire.Pool {
 	w := wire.Pool{Service: string(s), Waiting: r.Waiting, Late: r.Late}
 	for _, l := range r.Loads {
@@ -44,10 +45,19 @@
 		w.Ahead = append(w.Ahead, int(v.PromptBacklog))
 		w.First = append(w.First, int(v.Latency.Milliseconds()))
 		w.Pace = append(w.Pace, int(math.Round(100*v.Slowness)))
+		w.Stated = append(w.Stated, v.Load)
 	}
 	if lo.Sum(w.Pace) == 0 {
 		w.Pace = nil
 	}
+	if lo.Sum(w.Stated) == 0 {
+		w.Stated = nil
+	}
+	for _, v := range r.Work {
+		w.Ran = append(w.Ran, string(v.Endpoint))
+		w.Beside = append(w.Beside, v.Load)
+		w.Took = append(w.Took, int(v.Time.Microseconds()))
+	}
 	for _, id := range r.Failures {
 		w.Failed = append(w.Failed, string(id))
 	}
@@ -58,10 +68,12 @@
 // error: loads below zero would make endpoints look emptier than empty.
 func decodeReport(w *wire.Pool) (pool.Report, error) {
 	r := pool.Report{Waiting: w.Waiting, Late: w.Late}
-	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) || len(w.Pace) > 0 && len(w.Pace) != len(w.Seen) {
+	if len(w.Running) != len(w.Endpoints) || len(w.Reading) != len(w.Endpoints) || len(w.Ahead) != len(w.Seen) || len(w.First) != len(w.Seen) ||
+		len(w.Pace) > 0 && len(w.Pace) != len(w.Seen) || len(w.Stated) > 0 && len(w.Stated) != len(w.Seen) ||
+		len(w.Beside) != len(w.Ran) || len(w.Took) != len(w.Ran) {
 		return r, errListLengths
 	}
-	for _, figures := range [][]int{w.Running, w.Reading, w.Ahead, w.First, w.Pace, w.Waiting, {w.Late}} {
+	for _, figures := range [][]int{w.Running, w.Reading, w.Ahead, w.First, w.Pace, w.Stated, w.Beside, w.Took, w.Waiting, {w.Late}} {
 		if slices.ContainsFunc(figures, func(n int) bool { return n < 0 || n > maxFigure }) {
 			return r, errFigure
 		}
@@ -76,8 +88,14 @@
 		if len(w.Pace) > 0 {
 			s.Slowness = float64(w.Pace[i]) / 100
 		}
+		if len(w.Stated) > 0 {
+			s.Load = w.Stated[i]
+		}
 		r.Samples = append(r.Samples, s)
 	}
+	for i, e := range w.Ran {
+		r.Work = append(r.Work, pool.Work{Endpoint: core.EndpointID(e), Load: w.Beside[i], Time: time.Duration(w.Took[i]) * time.Microsecond})
+	}
 	for _, e := range w.Failed {
 		r.Failures = append(r.Failures, core.EndpointID(e))
 	}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -37,11 +37,12 @@
 		hasEvents bool
 		firstRead time.Time
 		lastRead  time.Time
+		longest   time.Duration // between two reads
 		endErr    error // why the stream ended; io.EOF if it is complete
 	)
 	defer func() {
 		if numbered > 1 {
-			x.pool.RecordEvents(a.grant, numbered-1, lastRead.Sub(firstRead))
+			x.pool.RecordEvents(a.grant, numbered-1, lastRead.Sub(firstRead), longest)
 		}
 	}()
 	for endErr == nil {
@@ -53,7 +54,11 @@
 		buf = buf[:len(buf)+n]
 		endErr = err
 		if n > 0 {
-			lastRead = time.Now()
+			now := time.Now()
+			if !lastRead.IsZero() {
+				longest = max(longest, now.Sub(lastRead))
+			}
+			lastRead = now
 			x.pool.RecordBytes(lastRead, a.grant)
 			if firstRead.IsZero() {
 				firstRead = lastRead
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -135,6 +135,48 @@
 	Revision int `json:"revision"`
 }
 
+// Endpoint is what an instance believes about the load of an endpoint: the
+// requests that are sent there at once (Limit, for the reason Why), those known
+// there, and its speed as a percentage of the usual one. Running and Waiting are
+// what the endpoint stated Age milliseconds ago; Age is -1 if it has stated
+// nothing.
+type Endpoint struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Known corresponds to the JSON schema field "known".
+	Known int `json:"known"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit int `json:"limit"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots"`
+
+	// Speed corresponds to the JSON schema field "speed".
+	Speed int `json:"speed"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting,omitempty,omitzero"`
+
+	// Why corresponds to the JSON schema field "why".
+	Why string `json:"why"`
+}
+
+type Endpoints struct {
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
 // Item is an object of a collection. Body is its content as it stands in the
 // store.
 type Item struct {
@@ -198,12 +240,20 @@
 // others. Seen, Ahead and First have an entry for each response that began since
 // the last digest: the endpoint, the prompt tokens that it had to read, and the
 // milliseconds until the response began. Pace, if not empty, has the percentage of
-// the usual time that work took there, 0 if the endpoint did not state it. Failed
-// has the endpoint of each request since then that an endpoint broke.
+// the usual time that work took there, 0 if the endpoint did not state it; Stated,
+// if not empty, the number of requests there that it stated, 0 if it did not. Ran,
+// Beside and Took have an entry for each request that ended since the last digest:
+// the endpoint, the requests there including this one, and the microseconds
+// between two events of a stream, or of the whole response, at an endpoint where
+// work takes the usual time. Failed has the endpoint of each request since then
+// that an endpoint broke.
 type Pool struct {
 	// Ahead corresponds to the JSON schema field "ahead".
 	Ahead []int `json:"ahead,omitempty,omitzero"`
 
+	// Beside corresponds to the JSON schema field "beside".
+	Beside []int `json:"beside,omitempty,omitzero"`
+
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []string `json:"endpoints,omitempty,omitzero"`
 
@@ -219,6 +269,9 @@
 	// Pace corresponds to the JSON schema field "pace".
 	Pace []int `json:"pace,omitempty,omitzero"`
 
+	// Ran corresponds to the JSON schema field "ran".
+	Ran []string `json:"ran,omitempty,omitzero"`
+
 	// Reading corresponds to the JSON schema field "reading".
 	Reading []int `json:"reading,omitempty,omitzero"`
 
@@ -231,6 +284,12 @@
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
+	// Stated corresponds to the JSON schema field "stated".
+	Stated []int `json:"stated,omitempty,omitzero"`
+
+	// Took corresponds to the JSON schema field "took".
+	Took []int `json:"took,omitempty,omitzero"`
+
 	// Waiting corresponds to the JSON schema field "waiting".
 	Waiting []int `json:"waiting,omitempty,omitzero"`
 }
