--- a/gateway/report_test.go
+++ b/gateway/report_test.go
@@ -17,7 +17,8 @@
 		Loads:   []pool.Load{{Endpoint: "e1", Running: 2, PendingPrompt: 300}},
 		Waiting: []int{0, 3},
 		Late:    2,
-		Samples: []pool.Sample{{Endpoint: "e2", PromptBacklog: 1200, Latency: 85 * time.Millisecond, Slowness: 2.5}},
+		Samples: []pool.Sample{{Endpoint: "e2", PromptBacklog: 1200, Latency: 85 * time.Millisecond, Slowness: 2.5, Load: 7}},
+		Work:    []pool.Work{{Endpoint: "e4", Load: 5, Time: 23456 * time.Microsecond}},
 	}
 	r.Failures = append(r.Failures, "e3")
 	w := encodeReport("s", r)
@@ -35,6 +36,10 @@
 		{Seen: []string{"e1"}, First: []int{1}},
 		{Seen: []string{"e1"}, Ahead: []int{1}},
 		{Seen: []string{"e1"}, Ahead: []int{1}, First: []int{1}, Pace: []int{100, 100}},
+		{Seen: []string{"e1"}, Ahead: []int{1}, First: []int{1}, Stated: []int{3, 4}},
+		{Ran: []string{"e1"}, Beside: []int{1}},
+		{Ran: []string{"e1"}, Took: []int{1}},
+		{Took: []int{1}},
 	} {
 		_, err := decodeReport(&w)
 		NewWithT(t).Expect(err).To(HaveOccurred())
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -38,7 +38,7 @@
 		firstRead time.Time
 		lastRead  time.Time
 		longest   time.Duration // between two reads
-		endErr    error // why the stream ended; io.EOF if it is complete
+		endErr    error         // why the stream ended; io.EOF if it is complete
 	)
 	defer func() {
 		if numbered > 1 {
