--- a/core/fleetlog/fleetlog.go
+++ b/core/fleetlog/fleetlog.go
@@ -31,6 +31,9 @@
 	Endpoint  core.EndpointID
 	Endpoints int
 	Span      duration
+	Limit     float64
+	Slots     int
+	Why       string
 
 	Request   core.RequestID
 	Status    int
@@ -92,6 +95,14 @@
 	leaving   time.Time // since when
 	suspended span
 	waits     span
+	limit     limit
+}
+
+// limit is the number of requests that an endpoint gets at once, if that is below its slots.
+type limit struct {
+	since        time.Time
+	value, slots int
+	why          string
 }
 
 // span is a time in which an endpoint gets no requests.
@@ -259,6 +270,8 @@
 		i.endpoint(l.Endpoint).suspended = span{l.Time, l.Time.Add(time.Duration(l.Span))}
 	case "endpoint open":
 		i.endpoint(l.Endpoint).suspended = span{}
+	case "endpoint limit":
+		i.endpoint(l.Endpoint).limit = limit{l.Time, int(l.Limit), l.Slots, l.Why}
 	case "log lines dropped":
 		f.second(l.Time).dropped += l.Lines
 	case "request":
--- a/core/fleetlog/fleetlog_test.go
+++ b/core/fleetlog/fleetlog_test.go
@@ -255,6 +255,17 @@
 				l.request("b01", 3*time.Second, 1, "status", 200, "reason", "served", "endpoint", "e6", "total", 900.0)
 			}, nil, nil,
 		},
+		{
+			"endpoint with a limit, and one whose limit is its slots again",
+			func(l *logs) {
+				l.add("a01", time.Second, "endpoint limit", "endpoint", "e1", "limit", 5, "before", 10, "slots", 10, "why", "streams would pause for too long")
+				l.add("b01", 2*time.Second, "endpoint limit", "endpoint", "e1", "limit", 5, "before", 10, "slots", 10, "why", "streams would pause for too long")
+				l.add("a01", time.Second, "endpoint limit", "endpoint", "e2", "limit", 5, "before", 10, "slots", 10, "why", "streams would pause for too long")
+				l.add("a01", 3*time.Second, "endpoint limit", "endpoint", "e2", "limit", 10, "before", 5, "slots", 10, "why", "slots")
+			},
+			nil,
+			[]fleetlog.Issue{issue("e1", "limited", time.Second, 2, "5 of 10 slots: streams would pause for too long")},
+		},
 		{
 			"slow endpoint",
 			func(l *logs) {
--- a/core/fleetlog/report.go
+++ b/core/fleetlog/report.go
@@ -42,7 +42,7 @@
 	Dropped    int // log lines in the window that are missing in the counts
 	Centres    []Centre
 	Troubled   []Issue // instances
-	Closed     []Issue // endpoints that get no requests from some instances, or that are slow
+	Closed     []Issue // endpoints that get no or fewer requests from some instances, or that are slow
 	Workspaces []Workspace
 	Causes     []Cause
 }
@@ -244,7 +244,7 @@
 	return issue
 }
 
-// reportEndpoints finds endpoints that get no requests from some instances, and slow ones.
+// reportEndpoints finds endpoints that get no or fewer requests from some instances, and slow ones.
 func (f *Fleet) reportEndpoints(r *Report) {
 	issues := map[core.EndpointID]*Issue{}
 	add := func(id core.EndpointID, rank int, state string, since time.Time, detail string) {
@@ -273,6 +273,8 @@
 				add(id, 1, "suspended", b.suspended.from, "until "+formatTime(b.suspended.until))
 			case b.waits.contains(f.latest):
 				add(id, 2, "waits", b.waits.from, "until "+formatTime(b.waits.until))
+			case b.limit.value < b.limit.slots:
+				add(id, 3, "limited", b.limit.since, fmt.Sprintf("%d of %d slots: %s", b.limit.value, b.limit.slots, b.limit.why))
 			}
 		}
 	}
@@ -292,7 +294,7 @@
 	for id, m := range slowness {
 		if v := m.sum / float64(m.count); v >= slowFactor {
 			if issues[id] == nil {
-				add(id, 3, "slow", time.Unix(first[id], 0).UTC(), fmt.Sprintf("%.1f times the usual time", v))
+				add(id, 4, "slow", time.Unix(first[id], 0).UTC(), fmt.Sprintf("%.1f times the usual time", v))
 				issues[id].By = 0
 			}
 		}
