--- a/core/pool/admission.go
+++ b/core/pool/admission.go
@@ -83,8 +83,8 @@
 	refused  rate // requests that were refused because of an overload
 	kinds    map[kind]*kindStats
 	// workspaces has the growth of each workspace, all that of all together.
-	workspaces map[core.WorkspaceID]*growth
-	all        growth
+	workspaces map[core.WorkspaceID]*surgeMeter
+	all        surgeMeter
 	drain      float64 // see drainRate; as of the present call of assign
 	// away is the number of callers that were turned away and for which no place has become free since, at awayAt.
 	away   float64
@@ -148,16 +148,16 @@
 
 func (r *rate) perSecond(now time.Time) float64 { return r.over(now, arrivalSpan) }
 
-// growth compares the rate of requests with the usual one.
-type growth struct{ recent, usual rate }
+// surgeMeter compares the rate of requests with the usual one.
+type surgeMeter struct{ recent, usual rate }
 
-func (w *growth) add(now time.Time) {
+func (w *surgeMeter) add(now time.Time) {
 	w.recent.add(now)
 	w.usual.addOver(now, usualSpan)
 }
 
 // factor returns how many times the usual rate requests arrive.
-func (w *growth) factor(now time.Time) float64 {
+func (w *surgeMeter) factor(now time.Time) float64 {
 	covered := 1 - math.Exp(-float64(now.Sub(w.usual.first))/float64(usualSpan)) // less than 1 until it has been learned
 	return w.recent.perSecond(now) * covered / w.usual.over(now, usualSpan)
 }
@@ -177,9 +177,9 @@
 	w := a.workspaces[id]
 	if w == nil {
 		if a.workspaces == nil || len(a.workspaces) >= maxWorkspaces { // those that have left are not kept for ever
-			a.workspaces = map[core.WorkspaceID]*growth{}
+			a.workspaces = map[core.WorkspaceID]*surgeMeter{}
 		}
-		w = &growth{}
+		w = &surgeMeter{}
 		a.workspaces[id] = w
 	}
 	w.add(now)
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -84,6 +84,7 @@
 	if now.Sub(p.lastPeerSum) >= peerSumInterval {
 		p.sumPeerLoads(now)
 	}
+	p.updateLimits(now)
 	p.unreportedRequests = -1
 	p.keeping = slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil })
 	p.admission.drain = p.drainRate(now)
@@ -173,7 +174,7 @@
 		if !usable || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		c := candidate{endpointState: e, freeInReports: e.capacity() - e.lent - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		c := candidate{endpointState: e, freeInReports: e.capacity() - e.lent - e.peerLoad.running - e.unknown - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
 			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning-e.lent, 0), 0
 		}
--- a/core/pool/lent_test.go
+++ b/core/pool/lent_test.go
@@ -68,7 +68,7 @@
 }
 
 func (s *simulation) poolOptions(i int) pool.Options {
-	o := pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977}
+	o := pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977, Limits: s.limits}
 	if s.keeperDown != nil {
 		if s.keepers == nil {
 			s.keepers = &keepers{asks: map[pool.AskID]*simulatedAsk{}, held: map[pool.PlaceID]bool{}}
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -91,7 +91,8 @@
 	// keeperDown reports whether the first keeper of a data centre is down at time s, in seconds; nil if there are no keepers.
 	keeperDown func(centre int, s float64) bool
 	// lossy loses one in 20 messages about places, and repeats another one.
-	lossy bool
+	lossy  bool
+	limits pool.Limits
 }
 
 const (
@@ -187,7 +188,7 @@
 	p := s.pools[i]
 	req := pool.Request{
 		Tier: 1, Rank: w.rank, Prompt: w.prompt, MaxOutput: core.Tokens(simulatedEventTokens * max(1, int(float64(w.events)*s.rng.ExpFloat64()))),
-		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter),
+		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter), Stream: w.events > 1,
 	}
 	s.callers[w.name].prepare(s, &req)
 	s.poll(w, p, s.submit(i, req), req)
@@ -242,7 +243,7 @@
 			}
 			s.after(step*time.Duration(n), func() {
 				done()
-				p.RecordEvents(granted, n, step*time.Duration(n))
+				p.RecordEvents(granted, n, step*time.Duration(n), 0)
 				p.Release(s.now, granted, pool.Served)
 			})
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 	Headers  proxy.HeaderCodec
 	// RequestIDHeader is the response header in which endpoints repeat the request's id.
 	RequestIDHeader string
+	Limits          pool.Limits
 	Log             logr.Logger
 	// Places tells whether keepers grant the places of endpoints.
 	Places PlacesMode
@@ -228,6 +229,7 @@
 	})
 	scrape.HandleFunc("GET /parts", g.listParts)
 	scrape.HandleFunc("DELETE /parts/{id}", g.releaseParts)
+	scrape.HandleFunc("GET /endpoints", g.listEndpoints)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -594,14 +596,16 @@
 		if g.pools[s] == nil {
 			g.pools[s] = pool.New(pool.Options{
 				Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s),
-				Keeper: g.places.id, Places: g.places.observer(s),
+				Limits: g.o.Limits, Keeper: g.places.id, Places: g.places.observer(s),
 			})
+			g.registerGauges(s, g.pools[s])
 		}
 	}
 	for s, p := range g.pools {
 		p.SetEndpoints(now, lists[s])
 		if len(lists[s]) == 0 && !g.uses(s) {
 			delete(g.pools, s)
+			g.unregisterGauges(s)
 		}
 	}
 	g.client.CloseIdleExcept(func(a string) bool { return addresses[a] })
