core, platform, gateway: eras of a store that is restored from a copy

A store that comes back from an older copy gives revisions out again, so everything that rests on rising revisions would go wrong: mirrors ignore its lists, then take old contents for new ones, watches miss changes, conditional writes meet other versions.

A revision now has the era in its high bits. The client refuses answers of earlier eras, lists anew when the era changes and sends no condition of an earlier era. Mirrors keep contents and removals that a restored store has lost, put missing objects in doubt, and hand both on; digests tell that there are some. Records and own entries are written again.

--- a/core/id.go
+++ b/core/id.go
@@ -69,9 +69,30 @@
 // Weight is the share of capacity of a workspace, relative to the other workspaces of its tier.
 type Weight int
 
-// Revision is a revision of the object API, which grows with every write.
+// Revision is a revision of the object API, which grows with every write. A store that was restored from a copy may give out
+// revisions again, and states its era, which is then in the high bits: revisions of a later era are higher.
 type Revision int64
 
+const (
+	// eraShift is the number of bits of a revision within an era.
+	eraShift = 40
+	// MaxStoreRevision is the highest revision within an era, and MaxEra the highest era.
+	MaxStoreRevision = 1<<eraShift - 1
+	MaxEra           = 1<<(62-eraShift) - 1
+)
+
+// Era is the number of times that a store has been restored, or 0 if it does not state that.
+type Era int64
+
+// NewRevision returns the revision with a number in an era. The number is at most MaxStoreRevision, the era at most MaxEra.
+func NewRevision(era Era, number int64) Revision { return Revision(int64(era)<<eraShift | number) }
+
+// Era returns the era of a revision.
+func (r Revision) Era() Era { return Era(r >> eraShift) }
+
+// Number returns the revision within its era, as the store states it.
+func (r Revision) Number() int64 { return int64(r) & MaxStoreRevision }
+
 // Fence is a fencing token. A command to an engine is stale if its fence is lower than
 // that of the last accepted command.
 type Fence int64
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -1,6 +1,7 @@
 // Package mirror keeps a local copy of a collection of objects in the platform's store. Updates come from the store or
 // from another instance's copy. The revision of a mirror never decreases, so that an old list cannot replace a newer
-// one.
+// one. If the store was restored from a copy, see core.Revision, the mirror keeps contents that are newer than those in
+// the store.
 package mirror
 
 import (
@@ -18,13 +19,26 @@
 	Body     []byte
 	// Deleted marks an object that was removed from the store.
 	Deleted bool
+	// Kept, if not 0, is the revision that Body had before the store was restored: the store has an older content, as of Revision. Of a
+	// removal it is the former revision of that, and the store has the object again; Body is then the last content.
+	Kept core.Revision
 	// Unreadable is the reason why the name, the revision or the content could not be read; empty if they could.
 	Unreadable string
+	// expired marks a removal that no change and no list of the era has shown: the object may be written again as it was.
+	expired bool
 }
 
 // Identified reports whether it is known which object this is. Items of which it is not known must not be applied.
 func (it *Item) Identified() bool { return it.Name != "" && it.Revision > 0 }
 
+// content returns the revision of the content.
+func (it *Item) content() core.Revision {
+	if it.Kept > 0 {
+		return it.Kept
+	}
+	return it.Revision
+}
+
 // Doubt is an object that a mirror keeps although it is missing in the store, because it may be written again.
 type Doubt struct {
 	Name     string
@@ -48,6 +62,11 @@
 	// Grace is how long an object is kept that is missing after an outage of the store, because it may be written
 	// again. 0 removes it immediately.
 	Grace time.Duration
+	// RestoredGrace is the same for an object that a store lacks which was restored from a copy.
+	RestoredGrace time.Duration
+	// Outdated reports whether an offered item is an earlier state of an object than the known one, or, if that is the last
+	// state before its removal, not a later one. It is asked about items of a later era than the known one. Nil for never.
+	Outdated func(known, offered Item, removed bool) bool
 }
 
 // entry is an object and its state.
@@ -67,14 +86,19 @@
 	partial    bool          // objects may be missing
 	mergedAt   core.Revision // newest revision of which some changes up to it may be missing, as in a partial list
 	missing    int           // objects that are missing in the store
+	keeps      bool          // some items may have Kept set
 	// removals are the latest removals, oldest first, of objects that have not been written again; all of these after completeSince are
 	// among them.
 	removals      []Item
 	completeSince core.Revision
 }
 
-// maxRemovals is the number of removals that are kept for other instances.
-const maxRemovals = 256
+const (
+	// maxRemovals is the number of removals that are kept for other instances.
+	maxRemovals = 256
+	// maxRemovedBytes is the size of the largest content that is kept with a removal.
+	maxRemovedBytes = 1 << 10
+)
 
 // New returns an empty mirror.
 func New(o Options) *Mirror { return &Mirror{o: o, items: map[string]*entry{}} }
@@ -112,13 +136,18 @@
 			continue
 		}
 		switch {
-		case afterOutage && m.o.Grace > 0:
+		case m.grace(e, rev, afterOutage) > 0:
 			m.setMissing(e, now, rev)
 		default:
 			m.remove(name, rev)
 			changed = true
 		}
 	}
+	for i, r := range m.removals {
+		if r.Kept > 0 && !listed[r.Name] && r.Revision <= rev {
+			m.removals[i].Kept = 0
+		}
+	}
 	if rev > m.rev {
 		m.lastChange = max(m.lastChange, rev) // others may know objects that were removed in between
 	}
@@ -126,6 +155,17 @@
 	return changed
 }
 
+// grace returns how long an object is kept that is missing as of a revision; 0 if it isn't.
+func (m *Mirror) grace(e *entry, rev core.Revision, afterOutage bool) time.Duration {
+	switch {
+	case rev.Era() > e.Revision.Era():
+		return m.o.RestoredGrace
+	case afterOutage:
+		return m.o.Grace
+	}
+	return 0
+}
+
 // completeList records a list of all objects as of a revision. Those that were written and removed since Revision are not known.
 func (m *Mirror) completeList(rev core.Revision) {
 	if rev > m.rev+1 {
@@ -149,10 +189,11 @@
 // of the grace period. An object that a copy lacks without its removal is in doubt too, and others are asked for it: its
 // instance may have started after the object vanished.
 func (m *Mirror) Follow(now time.Time, c Copy) bool {
+	changed := m.followKept(c.Items)
 	if c.Full && m.synced && c.Revision < m.rev {
-		return false
+		return changed
 	}
-	changed := !m.synced
+	changed = changed || !m.synced
 	doubted := make(map[string]bool, len(c.Doubts))
 	for _, d := range c.Doubts {
 		doubted[d.Name] = true
@@ -160,6 +201,8 @@
 	listed := make(map[string]bool, len(c.Items))
 	for _, it := range c.Items {
 		switch {
+		case it.Deleted && it.Kept > 0:
+			continue // see followKept
 		case it.Deleted:
 			// Not as of the copy's revision: its instance may not know that the object was written again.
 			changed = m.apply(now, []Item{it}, it.Revision, false) || changed
@@ -178,7 +221,7 @@
 		for name, e := range m.items {
 			switch {
 			case listed[name] || e.Revision > c.Revision || !c.Full && e.Revision <= c.Since:
-			case m.o.Grace > 0:
+			case m.grace(e, c.Revision, true) > 0:
 				m.setMissing(e, now, c.Revision)
 				unexplained = true
 			default:
@@ -209,6 +252,48 @@
 	return changed
 }
 
+// followKept applies contents and removals that another instance has kept, to objects of which this one has what the store has. It reports
+// whether an object changed.
+func (m *Mirror) followKept(items []Item) bool {
+	changed := false
+	for _, it := range items {
+		e := m.items[it.Name]
+		switch {
+		case it.Kept == 0:
+		case it.Deleted && e != nil && e.Revision > it.Revision:
+		case it.Deleted:
+			if e != nil {
+				m.setPresent(e)
+				delete(m.items, it.Name)
+				changed = true
+			}
+			if i := m.removal(it.Name); i < 0 || m.removals[i].Revision <= it.Revision {
+				m.recordRemoval(it)
+			}
+		case e != nil && it.Revision == e.Revision && it.Kept > e.Kept && m.o.Outdated != nil && m.o.Outdated(it, e.Item, false):
+			e.Item, m.keeps, changed = it, true, true
+		}
+	}
+	return changed
+}
+
+// Kept returns the highest revision of which a content, or a removal, is kept here although a restored store does not have it; 0 if there
+// is none. Another instance that has a lower one may lack it, whatever the revisions of both.
+func (m *Mirror) Kept() core.Revision {
+	if !m.keeps {
+		return 0
+	}
+	highest := core.Revision(0)
+	for _, e := range m.items {
+		highest = max(highest, e.Kept)
+	}
+	for _, r := range m.removals {
+		highest = max(highest, r.Kept)
+	}
+	m.keeps = highest > 0
+	return highest
+}
+
 // Apply applies all changes from Revision up to a revision, and reports whether anything changed. Newer changes may be among them.
 func (m *Mirror) Apply(now time.Time, items []Item, rev core.Revision, afterOutage bool) bool {
 	changed := m.apply(now, items, rev, afterOutage)
@@ -233,12 +318,12 @@
 		}
 		e := m.items[it.Name]
 		switch {
-		case e == nil && it.Revision > m.rev && afterOutage && m.o.Grace > 0:
+		case e == nil && it.Revision > m.rev && afterOutage && m.o.Grace > 0 && !m.keepsRemoval(it.Name):
 			m.completeSince = max(m.completeSince, it.Revision, rev) // where the object is known, it is in doubt
 			m.lastChange = max(m.lastChange, it.Revision, rev)
 			continue
 		case e == nil && it.Revision > m.rev:
-			m.recordRemoval(it.Name, max(it.Revision, rev)) // others may know the object
+			m.recordRemoval(Item{Name: it.Name, Revision: max(it.Revision, rev), Body: it.Body}) // others may know the object
 			continue
 		case e == nil || it.Revision < e.Revision:
 			continue
@@ -266,12 +351,22 @@
 	if e == nil && rev < m.rev && it.Revision <= m.rev {
 		return false // its removal may have been unknown here, or is no longer kept
 	}
-	if i := slices.IndexFunc(m.removals, func(r Item) bool { return r.Name == it.Name }); i >= 0 {
-		if rev < m.removals[i].Revision {
+	if i := m.removal(it.Name); i >= 0 {
+		r := m.removals[i]
+		if rev < r.Revision {
+			return false
+		}
+		if e == nil && m.outdated(r, it) {
+			r.Kept, r.Revision = r.content(), max(r.Revision, it.Revision)
+			m.recordRemoval(r)
 			return false
 		}
 		m.removals = slices.Delete(m.removals, i, i+1)
 	}
+	if e != nil && m.outdated(e.Item, it) {
+		it.Body, it.Unreadable, it.Kept = e.Body, e.Unreadable, e.content()
+	}
+	m.keeps = m.keeps || it.Kept > 0
 	m.lastChange = max(m.lastChange, it.Revision)
 	if e != nil && rev < e.missingAt {
 		e.Item = it // it is missing all the same
@@ -282,6 +377,11 @@
 	return true
 }
 
+// outdated reports whether an item of a later era is outdated.
+func (m *Mirror) outdated(known, offered Item) bool {
+	return m.o.Outdated != nil && known.Body != nil && offered.Revision.Era() > known.content().Era() && m.o.Outdated(known, offered, known.Deleted && !known.expired)
+}
+
 // HasMissing reports whether the mirror keeps objects that are missing in the store.
 func (m *Mirror) HasMissing() bool { return m.missing > 0 }
 
@@ -291,7 +391,8 @@
 	if e.missingSince.IsZero() {
 		m.missing++
 	}
-	if e.missingSince.IsZero() || since.Before(e.missingSince) {
+	known, found := e.missingAt.Era(), rev.Era()
+	if e.missingSince.IsZero() || found > known || found == known && since.Before(e.missingSince) {
 		e.missingSince = since
 	}
 	e.missingAt = max(e.missingAt, rev)
@@ -314,8 +415,9 @@
 	}
 	changed := false
 	for name, e := range m.items {
-		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= m.o.Grace {
+		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= m.grace(e, e.missingAt, true) {
 			m.remove(name, e.missingAt)
+			m.removals[len(m.removals)-1].expired = true
 			changed = true
 		}
 	}
@@ -324,19 +426,43 @@
 
 // remove deletes an object as of a revision and records its removal.
 func (m *Mirror) remove(name string, rev core.Revision) {
-	m.setPresent(m.items[name])
+	e := m.items[name]
+	m.setPresent(e)
 	delete(m.items, name)
-	m.recordRemoval(name, rev)
+	r := Item{Name: name, Revision: rev}
+	if e != nil {
+		r.Body = e.Body
+	}
+	m.recordRemoval(r)
 }
 
-// recordRemoval records the removal of an object that is not in the mirror.
-func (m *Mirror) recordRemoval(name string, rev core.Revision) {
-	m.lastChange = max(m.lastChange, rev)
-	if i := slices.IndexFunc(m.removals, func(r Item) bool { return r.Name == name }); i >= 0 {
-		rev = max(rev, m.removals[i].Revision)
+// removal returns the index in removals of that of an object, or -1.
+func (m *Mirror) removal(name string) int {
+	return slices.IndexFunc(m.removals, func(r Item) bool { return r.Name == name })
+}
+
+// keepsRemoval reports whether an object counts as removed that a restored store has again.
+func (m *Mirror) keepsRemoval(name string) bool {
+	i := m.removal(name)
+	return i >= 0 && m.removals[i].Kept > 0
+}
+
+// recordRemoval records the removal of an object that is not in the mirror, with its last content if that is known.
+func (m *Mirror) recordRemoval(r Item) {
+	r.Deleted = true
+	m.lastChange = max(m.lastChange, r.Revision)
+	if i := m.removal(r.Name); i >= 0 {
+		r.Revision = max(r.Revision, m.removals[i].Revision)
+		if r.Body == nil {
+			r.Body = m.removals[i].Body
+		}
 		m.removals = slices.Delete(m.removals, i, i+1)
 	}
-	m.removals = append(m.removals, Item{Name: name, Revision: rev, Deleted: true})
+	if len(r.Body) > maxRemovedBytes {
+		r.Body = nil
+	}
+	m.keeps = m.keeps || r.Kept > 0
+	m.removals = append(m.removals, r)
 	if n := len(m.removals) - maxRemovals; n > 0 {
 		m.completeSince = max(m.completeSince, m.removals[n-1].Revision)
 		m.removals = m.removals[n:]
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -34,6 +34,15 @@
 	return leaving.Leaving && !e.Leaving && e.Incarnation != 0 && e.Incarnation == leaving.Incarnation && e.Sequence < leaving.Sequence
 }
 
+// Precedes reports whether an entry was written earlier than another one of the same endpoint: by an earlier process, or earlier by the
+// same one. Of processes whose start is unknown it is not known.
+func (e *Endpoint) Precedes(o *Endpoint) bool {
+	if e.Incarnation == 0 || o.Incarnation == 0 {
+		return false
+	}
+	return e.Incarnation < o.Incarnation || e.Incarnation == o.Incarnation && e.Sequence < o.Sequence
+}
+
 // Request describes a request that needs an endpoint.
 type Request struct {
 	ID        core.RequestID
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -76,11 +76,11 @@
 	return items, rev, err
 }
 
-func (s observedStore) Register(ctx context.Context, m InstanceEntry) error {
+func (s observedStore) Register(ctx context.Context, m InstanceEntry) (core.Era, error) {
 	sent := time.Now()
-	err := s.Store.Register(ctx, m)
+	era, err := s.Store.Register(ctx, m)
 	s.observe(sent, err)
-	return err
+	return era, err
 }
 
 func (s observedStore) Deregister(ctx context.Context, name core.InstanceID) error {
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -99,7 +99,7 @@
 		From: string(g.o.Settings.Name), Address: g.o.Settings.MeshAddress, Centre: string(g.o.Settings.Centre),
 		Start: int(g.start.UnixMilli()), Number: g.digestNumber, Every: int(every.Milliseconds()),
 		Routes: int(g.mirrors[Configurations].LastChange()), Entries: int(g.mirrors[Endpoints].LastChange()),
-		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now),
+		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now), Kept: g.kept(),
 	}
 }
 
@@ -109,7 +109,7 @@
 	w := wire.Summary{
 		From: d.From, Address: d.Address, Centre: d.Centre, Start: d.Start, Number: d.Number, Every: d.Every,
 		Heard: s.Heard, Running: s.Running, Silent: fromIDs(s.Silent), Watchers: fromIDs(s.Watchers), Watching: fromIDs(s.Watchers), Young: s.Young,
-		Routes: d.Routes, Entries: d.Entries, Members: d.Members,
+		Routes: d.Routes, Entries: d.Entries, Members: d.Members, Kept: d.Kept,
 	}
 	for name, p := range g.pools {
 		if !g.uses(name) {
@@ -206,6 +206,7 @@
 		g.budgets.mu.Unlock()
 	}
 	g.fetchNewer(ctx, now, from, d.Routes, d.Entries, d.Members)
+	g.fetchKept(ctx, now, from, d.Kept)
 }
 
 // handleSummary applies the summary of another data centre. direct means that its relay has sent it to this instance, which
@@ -235,6 +236,7 @@
 	if direct || !g.behindSince[Configurations].IsZero() && now.Sub(g.behindSince[Configurations]) > farFetchDelay ||
 		!g.behindSince[Endpoints].IsZero() && now.Sub(g.behindSince[Endpoints]) > farFetchDelay {
 		g.fetchNewer(ctx, now, relay, w.Routes, w.Entries, w.Members)
+		g.fetchKept(ctx, now, relay, w.Kept)
 		return
 	}
 	for c, rev := range []int{Configurations: w.Routes, Endpoints: w.Entries, Instances: w.Members} {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -88,6 +89,7 @@
 	metrics         metrics.Registry
 	config          atomic.Pointer[proxy.Config]
 	publishedCopies [collectionCount]atomic.Pointer[publishedCopy]
+	era             atomic.Int64 // latest one of the store
 	ready           atomic.Bool
 	leaving         atomic.Bool
 	// recording is set while a record of the usage of workspaces is being written.
@@ -95,6 +97,8 @@
 	// quarantine holds the parts of prompts that crash endpoints.
 	quarantine    *quarantine.Ledger
 	parts         partsRecord
+	entryLost     chan struct{} // the restored store lacks the entry of this instance
+	registered    atomic.Int64  // era in which it was written; -1 before that
 	updates       chan update
 	digests       chan wire.Digest
 	watch         *watchState
@@ -115,6 +119,7 @@
 	forward           []wire.Summary          // to be passed on within the data centre
 	pools             map[route.Service]*pool.Pool
 	table             *route.Table
+	configBody        []byte                            // of which table was made
 	entries           map[core.EndpointID]pool.Endpoint // that can be decoded, as in force
 	skipped           [collectionCount]skipped          // entries that could not be decoded
 	unidentified      [collectionCount]skipped          // entries of the last list of which it is not known which object they are
@@ -126,6 +131,8 @@
 	lastRecordAttempt time.Time
 	partsInForce      bool // requests are served, as parts.known was set
 	lastWallTime      time.Time
+	keptSeen          [collectionCount]core.Revision // highest one of those that copies were fetched for, see fetchKept
+	partsEra          core.Era                       // for which the parts are due to be written
 }
 
 // Start opens the listeners of a gateway and runs it.
@@ -139,19 +146,17 @@
 		metrics: metrics.NewRegistry(), watch: newWatchState(), lateness: lateness.New(standstillInterval),
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
 		pools:     map[route.Service]*pool.Pool{},
-		addresses: map[string]*net.UDPAddr{},
-		fleet:     fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
+		addresses: map[string]*net.UDPAddr{}, entryLost: make(chan struct{}, 1),
+		fleet: fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
+	g.registered.Store(-1)
 	g.budgets = newBudgets(g.start, s)
 	g.quarantine = quarantine.New(quarantine.Options{Log: o.Log})
 	metrics.NewRegisteredFunctionalGauge("parts.quarantined", g.metrics, func() int64 { n, _ := g.quarantine.Size(); return int64(n) })
 	metrics.NewRegisteredFunctionalGauge("parts.crashes", g.metrics, func() int64 { _, n := g.quarantine.Size(); return int64(n) })
+	metrics.NewRegisteredFunctionalGauge("store.era", g.metrics, g.era.Load)
 	for c := range collectionCount {
-		o := mirror.Options{}
-		if c == Endpoints {
-			o.Grace = endpointGrace
-		}
-		g.mirrors[c] = mirror.New(o)
+		g.mirrors[c] = mirror.New(mirrorOptions(o.Store, c))
 	}
 	g.config.Store(&proxy.Config{})
 	g.client = endpoint.New(endpoint.Options{RequestIDHeader: o.RequestIDHeader})
@@ -194,7 +199,7 @@
 			w.run(ctx)
 		}()
 	}
-	for _, run := range []func(context.Context){g.register, g.restoreUsage, g.restoreParts, g.watchStandstill} {
+	for _, run := range []func(context.Context){g.registerAgain, g.restoreUsage, g.restoreParts, g.watchStandstill} {
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
@@ -292,9 +297,13 @@
 	for _, it := range c.Items {
 		switch {
 		case !it.Deleted:
-			w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
+			w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Kept: int(it.Kept), Body: it.Body})
 		case marks || !c.Full:
-			w.Gone = append(w.Gone, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: json.RawMessage("null")})
+			gone := wire.Item{Name: it.Name, Revision: int(it.Revision), Kept: int(it.Kept), Body: json.RawMessage("null")}
+			if it.Kept > 0 && it.Body != nil {
+				gone.Body = it.Body
+			}
+			w.Gone = append(w.Gone, gone)
 		}
 	}
 	for _, d := range c.Doubts {
@@ -421,14 +430,19 @@
 	if g.watch.proven(now) && g.mirrors[c].Synced() && now.Sub(g.behindSince[c]) < fetchDelay+batchPause[c]*2 {
 		return
 	}
-	if !g.fetches[c].start(now, m.Name) {
-		return
-	}
-	address := m.Address
 	since := core.Revision(0)
 	if g.mirrors[c].Synced() {
 		since = g.mirrors[c].Revision()
 	}
+	g.fetch(ctx, now, c, m, since)
+}
+
+// fetch fetches another instance's copy of a collection, or the changes after a revision, and reports whether it has begun to.
+func (g *Gateway) fetch(ctx context.Context, now time.Time, c Collection, m fleet.Member, since core.Revision) bool {
+	if !g.fetches[c].start(now, m.Name) {
+		return false
+	}
+	address := m.Address
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
@@ -445,6 +459,7 @@
 		case <-ctx.Done():
 		}
 	}()
+	return true
 }
 
 // applyUpdate applies changes of a collection.
@@ -453,15 +468,20 @@
 		g.fetches[u.collection].end(core.InstanceID(u.source))
 		g.behindSince[u.collection] = time.Time{}
 		if u.rev == 0 { // the copy could not be fetched
+			g.keptSeen[u.collection] = 0
 			return
 		}
 	}
 	m := g.mirrors[u.collection]
-	last := m.LastChange()
+	last, era, synced := m.LastChange(), m.Revision().Era(), m.Synced()
 	// A process that has just started has not seen the outage that the marks of others show.
 	u.afterOutage = u.afterOutage || u.source == storeSource && m.HasMissing() && now.Sub(g.start) < recoveryPeriod
 	changed := u.apply(now, m, g.identified(u))
 	g.revisions[u.collection].Store(int64(m.Revision()))
+	g.era.Store(max(g.era.Load(), int64(m.Revision().Era())))
+	if synced && m.Revision().Era() > era {
+		g.beginEra(u, era)
+	}
 	switch {
 	case changed:
 		g.behindSince[u.collection] = time.Time{}
@@ -479,10 +499,14 @@
 	u := update{collection: c, source: source, rev: core.Revision(w.Revision), since: since, list: since == 0, complete: !w.Partial}
 	u.part = w.Partial && u.list
 	for _, it := range w.Items {
-		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Body: it.Body})
+		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Kept: core.Revision(it.Kept), Body: it.Body})
 	}
 	for _, it := range w.Gone {
-		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Deleted: true})
+		gone := mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Kept: core.Revision(it.Kept), Deleted: true}
+		if it.Kept > 0 {
+			gone.Body = it.Body
+		}
+		u.items = append(u.items, gone)
 	}
 	for _, d := range w.Missing {
 		age := min(max(milliseconds(d.Age), 0), endpointGrace)
@@ -532,8 +556,11 @@
 		if t == nil || g.table != nil && t.Version() < g.table.Version() {
 			continue
 		}
+		if g.configBody != nil && bytes.Equal(it.Body, g.configBody) {
+			continue // written again, or listed again by a restored store
+		}
 		previous := g.table
-		g.table = t
+		g.table, g.configBody = t, it.Body
 		g.applyLimits(previous)
 		g.budgets.mu.Lock()
 		g.budgets.ledger.Configure(t.Workspaces())
@@ -626,14 +653,16 @@
 	}
 	g.skipped[Instances].replace(g.log, Instances, odd)
 	g.fleet.List(now, list)
+	g.checkOwnEntry(items)
 }
 
 // register writes the entry of this instance to the store. It retries until it succeeds, and logs no errors.
 func (g *Gateway) register(ctx context.Context) {
 	s := g.o.Settings
 	for wait := minStoreBackoff; ctx.Err() == nil; wait = min(2*wait, maxStoreBackoff) {
-		err := g.o.Store.Register(ctx, InstanceEntry{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre})
+		era, err := g.o.Store.Register(ctx, InstanceEntry{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre})
 		if err == nil {
+			g.registered.Store(int64(era))
 			return
 		}
 		sleep(ctx, wait)
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -27,8 +27,8 @@
 	return [...]string{"configuration", "endpoints", "instances"}[c]
 }
 
-// ErrHistoryDropped is returned by Store.Watch if the store has discarded changes after the given revision. The
-// collection must then be listed.
+// ErrHistoryDropped is returned by Store.Watch if the store has discarded changes after the given revision, or was restored
+// since. The collection must then be listed.
 var ErrHistoryDropped = errors.New("history dropped by the store")
 
 // ErrIncomplete is returned by Store.List, together with objects, if there may be others that cannot be read.
@@ -41,7 +41,7 @@
 	Centre  core.DataCentre
 }
 
-// ErrChanged means that another instance has written an object meanwhile.
+// ErrChanged means that another instance may have written an object meanwhile.
 var ErrChanged = errors.New("changed by another instance")
 
 // Store gives access to the objects in the platform's store.
@@ -49,14 +49,15 @@
 	// List returns all objects of a collection and the store's revision. With ErrIncomplete, it returns a part of the objects.
 	// Objects that cannot be read are returned as far as they can, see mirror.Item; so does Watch.
 	List(ctx context.Context, c Collection) ([]mirror.Item, core.Revision, error)
-	// Watch waits up to the given time for changes after a revision, or returns ErrHistoryDropped.
+	// Watch waits up to the given time for changes after a revision, or returns ErrHistoryDropped, also if the revision is of
+	// another era of the store. List and Watch return no answers of an earlier era than a known one.
 	Watch(ctx context.Context, c Collection, since core.Revision, wait time.Duration) ([]mirror.Item, core.Revision, error)
-	// Register writes the entry of this instance.
-	Register(ctx context.Context, m InstanceEntry) error
+	// Register writes the entry of this instance. It returns the era of the store that has it.
+	Register(ctx context.Context, m InstanceEntry) (core.Era, error)
 	// Deregister removes the entry of another instance.
 	Deregister(ctx context.Context, name core.InstanceID) error
-	// Save fails with ErrChanged if another instance has written the object since the last call of Save or Load. Otherwise it
-	// writes an object that remains in the store when all instances have stopped. Load reads it; ok is false if
+	// Save fails with ErrChanged if another instance has written the object since the last call of Save or Load, or
+	// if the store was restored since. Otherwise it writes an object that remains in the store when all instances have stopped. Load reads it; ok is false if
 	// there is none.
 	Save(ctx context.Context, name string, body []byte) error
 	Load(ctx context.Context, name string) (body []byte, ok bool, err error)
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -52,7 +52,8 @@
 		defer g.wg.Done()
 		defer g.recording.Store(false)
 		err := g.o.Store.Save(ctx, usageObjectName, b)
-		if errors.Is(err, ErrChanged) { // this instance has taken over from another one
+		// This instance has taken over from another one, or the store was restored, and may have an older record.
+		for n := 0; n < 2 && errors.Is(err, ErrChanged); n++ {
 			err = g.o.Store.Save(ctx, usageObjectName, b)
 		}
 		if err != nil && ctx.Err() == nil {
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -98,6 +98,7 @@
 	sleep(ctx, startDelay)
 	for ctx.Err() == nil {
 		if rev := core.Revision(w.mirrorRevision.Load()); rev > w.rev {
+			w.noticeEra(time.Now(), rev)
 			w.rev, w.sent, w.hasBaseline = rev, rev, true
 		}
 		if w.hasBaseline && w.outageStart.IsZero() && !w.watch.watches() {
@@ -152,7 +153,8 @@
 		}
 		return err
 	}
-	w.watch.answered(w.collection, maxPause(w.collection))
+	w.watch.answered(w.collection, u.rev.Era(), maxPause(w.collection))
+	w.noticeEra(now, u.rev)
 	if !w.outageStart.IsZero() && w.wasAway(now) {
 		w.outageEnd = now
 	}
@@ -169,6 +171,14 @@
 	return nil
 }
 
+// noticeEra takes the begin of a new era of the store for the end of an outage: entries that were lost, or expired meanwhile, are written
+// again.
+func (w *storeWatcher) noticeEra(now time.Time, rev core.Revision) {
+	if w.rev > 0 && rev.Era() > w.rev.Era() {
+		w.outageEnd = now
+	}
+}
+
 // wasAway reports whether the store may have been away for minOutage before it answered now. A watch is silent for as long as there
 // are no changes, so that the store may have been away since it was sent. That its connection alone was silent is proved only by
 // other calls that the store answered meanwhile: the next answer does not show what was before it.
--- a/gateway/watchstate.go
+++ b/gateway/watchstate.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"monsoondale/core"
 	"monsoondale/core/fleet"
 )
 
@@ -18,6 +19,7 @@
 
 	mu     sync.Mutex
 	claims [collectionCount]fleet.Claim
+	era    core.Era // of the latest answer; claims of an earlier one have been dropped
 }
 
 // newWatchState returns the state of an instance that does not watch the store.
@@ -65,10 +67,20 @@
 	s.claims[c].Call(time.Now(), wait)
 }
 
-// answered records an answer of the store, after which the next call is sent within pause.
-func (s *watchState) answered(c Collection, pause time.Duration) {
+// answered records an answer of the store in an era, after which the next call is sent within pause. In a new era, nothing has been read
+// yet.
+func (s *watchState) answered(c Collection, era core.Era, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if era < s.era {
+		return
+	}
+	if era > s.era {
+		s.era = era
+		for c := range s.claims {
+			s.claims[c].Drop()
+		}
+	}
 	s.claims[c].Answer(time.Now(), pause)
 }
 
--- a/io/mesh/decode.go
+++ b/io/mesh/decode.go
@@ -54,6 +54,9 @@
 		if json.Unmarshal(fields["name"], &it.Name) != nil || json.Unmarshal(fields["revision"], &it.Revision) != nil {
 			continue
 		}
+		if fields["kept"] != nil && json.Unmarshal(fields["kept"], &it.Kept) != nil {
+			continue // the content would pass for that in the store
+		}
 		if !json.Valid(it.Body) {
 			it.Body = json.RawMessage("null")
 		}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -49,15 +49,16 @@
 // Digest is the state of an instance. Start is the time at which its process
 // started, in Unix milliseconds; Number counts its digests. Routes, Entries and
 // Members are the revisions of its configuration, its list of endpoints and its
-// list of instances. Blind tells that its last call to the store has failed,
-// Watching that it watches the store for all and that the store answers it. Used
-// is the units that the sender has used for each workspace since its start; Total
-// is those of all instances in the last window, as far as it knows. Centre is the
-// sender's data centre; Every is the number of milliseconds until its next digest.
-// Far are the summaries of other data centres that the sender has received since
-// the last digest. A digest with a summary of the sender's own data centre is for
-// instances of other data centres. Crashes are those of endpoints with requests of
-// the sender, Parts those in quarantine or released lately.
+// list of instances; Kept, if not empty, has for each of these the highest Kept of
+// its items. Blind tells that its last call to the store has failed, Watching that
+// it watches the store for all and that the store answers it. Used is the units
+// that the sender has used for each workspace since its start; Total is those of
+// all instances in the last window, as far as it knows. Centre is the sender's
+// data centre; Every is the number of milliseconds until its next digest. Far are
+// the summaries of other data centres that the sender has received since the last
+// digest. A digest with a summary of the sender's own data centre is for instances
+// of other data centres. Crashes are those of endpoints with requests of the
+// sender, Parts those in quarantine or released lately.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -83,6 +84,9 @@
 	// From corresponds to the JSON schema field "from".
 	From string `json:"from"`
 
+	// Kept corresponds to the JSON schema field "kept".
+	Kept []int `json:"kept,omitempty,omitzero"`
+
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
@@ -136,11 +140,16 @@
 }
 
 // Item is an object of a collection. Body is its content as it stands in the
-// store.
+// store. If Kept is not 0, the store was restored from a copy with an older
+// content, or with an object that was removed, and Kept is the revision that Body,
+// or the removal, had before.
 type Item struct {
 	// Body corresponds to the JSON schema field "body".
 	Body json.RawMessage `json:"body"`
 
+	// Kept corresponds to the JSON schema field "kept".
+	Kept int `json:"kept,omitempty,omitzero"`
+
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name"`
 
@@ -296,6 +305,9 @@
 	// Heard corresponds to the JSON schema field "heard".
 	Heard int `json:"heard,omitempty,omitzero"`
 
+	// Kept corresponds to the JSON schema field "kept".
+	Kept []int `json:"kept,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members int `json:"members,omitempty,omitzero"`
 
