--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -24,8 +24,6 @@
 	Kept core.Revision
 	// Unreadable is the reason why the name, the revision or the content could not be read; empty if they could.
 	Unreadable string
-	// expired marks a removal that no change and no list of the era has shown: the object may be written again as it was.
-	expired bool
 }
 
 // Identified reports whether it is known which object this is. Items of which it is not known must not be applied.
@@ -260,7 +258,8 @@
 		e := m.items[it.Name]
 		switch {
 		case it.Kept == 0:
-		case it.Deleted && e != nil && e.Revision > it.Revision:
+		case it.Deleted && e != nil && (e.Revision > it.Revision || it.Body != nil && m.o.Outdated != nil && m.o.Outdated(e.Item, it, false)):
+			// It was written after that removal.
 		case it.Deleted:
 			if e != nil {
 				m.setPresent(e)
@@ -333,6 +332,7 @@
 			continue
 		}
 		m.remove(it.Name, max(it.Revision, rev))
+		m.recordRemoval(Item{Name: it.Name, Revision: max(it.Revision, rev), Body: it.Body}) // whose content may be newer
 		changed = true
 	}
 	return changed
@@ -379,7 +379,7 @@
 
 // outdated reports whether an item of a later era is outdated.
 func (m *Mirror) outdated(known, offered Item) bool {
-	return m.o.Outdated != nil && known.Body != nil && offered.Revision.Era() > known.content().Era() && m.o.Outdated(known, offered, known.Deleted && !known.expired)
+	return m.o.Outdated != nil && known.Body != nil && offered.Revision.Era() > known.content().Era() && m.o.Outdated(known, offered, known.Deleted)
 }
 
 // HasMissing reports whether the mirror keeps objects that are missing in the store.
@@ -417,7 +417,6 @@
 	for name, e := range m.items {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= m.grace(e, e.missingAt, true) {
 			m.remove(name, e.missingAt)
-			m.removals[len(m.removals)-1].expired = true
 			changed = true
 		}
 	}
@@ -450,17 +449,17 @@
 // recordRemoval records the removal of an object that is not in the mirror, with its last content if that is known.
 func (m *Mirror) recordRemoval(r Item) {
 	r.Deleted = true
+	if len(r.Body) > maxRemovedBytes {
+		r.Body = nil
+	}
 	m.lastChange = max(m.lastChange, r.Revision)
 	if i := m.removal(r.Name); i >= 0 {
 		r.Revision = max(r.Revision, m.removals[i].Revision)
-		if r.Body == nil {
-			r.Body = m.removals[i].Body
+		if old := m.removals[i]; old.Body != nil && (r.Body == nil || m.o.Outdated != nil && m.o.Outdated(old, r, false)) {
+			r.Body = old.Body
 		}
 		m.removals = slices.Delete(m.removals, i, i+1)
 	}
-	if len(r.Body) > maxRemovedBytes {
-		r.Body = nil
-	}
 	m.keeps = m.keeps || r.Kept > 0
 	m.removals = append(m.removals, r)
 	if n := len(m.removals) - maxRemovals; n > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -479,6 +479,7 @@
 	changed := u.apply(now, m, g.identified(u))
 	g.revisions[u.collection].Store(int64(m.Revision()))
 	g.era.Store(max(g.era.Load(), int64(m.Revision().Era())))
+	g.watch.enter(m.Revision().Era())
 	if synced && m.Revision().Era() > era {
 		g.beginEra(u, era)
 	}
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -192,7 +192,11 @@
 	if w.hasBaseline {
 		wait = w.watchDuration(time.Now())
 		w.watch.called(w.collection, wait)
-		u.items, u.rev, err = w.store.Watch(ctx, w.collection, w.rev, wait)
+		watchCtx, release := w.watch.inEra(ctx, w.rev.Era())
+		u.items, u.rev, err = w.store.Watch(watchCtx, w.collection, w.rev, wait)
+		if ended := release(); ended && ctx.Err() == nil {
+			err = ErrHistoryDropped
+		}
 		u.since, u.part = w.sent, !allIdentified(u.items)
 		if err != nil || !w.mustList(u.items) {
 			return u, wait, err
--- a/gateway/watchstate.go
+++ b/gateway/watchstate.go
@@ -19,12 +19,13 @@
 
 	mu     sync.Mutex
 	claims [collectionCount]fleet.Claim
-	era    core.Era // of the latest answer; claims of an earlier one have been dropped
+	era    core.Era      // latest one that is known; claims of an earlier one have been dropped
+	begun  chan struct{} // closed and replaced when an era begins
 }
 
 // newWatchState returns the state of an instance that does not watch the store.
 func newWatchState() *watchState {
-	s := &watchState{}
+	s := &watchState{begun: make(chan struct{})}
 	s.index.Store(-1)
 	for c := range s.wake {
 		s.wake[c] = make(chan struct{}, 1)
@@ -67,20 +68,59 @@
 	s.claims[c].Call(time.Now(), wait)
 }
 
-// answered records an answer of the store in an era, after which the next call is sent within pause. In a new era, nothing has been read
-// yet.
-func (s *watchState) answered(c Collection, era core.Era, pause time.Duration) {
+// enter records that an era of the store has begun, in which nothing has been read yet.
+func (s *watchState) enter(era core.Era) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if era < s.era {
+	s.enterLocked(era)
+}
+
+func (s *watchState) enterLocked(era core.Era) {
+	if era <= s.era {
 		return
 	}
-	if era > s.era {
-		s.era = era
-		for c := range s.claims {
-			s.claims[c].Drop()
+	s.era = era
+	for c := range s.claims {
+		s.claims[c].Drop()
+	}
+	close(s.begun)
+	s.begun = make(chan struct{})
+}
+
+// inEra returns a context that ends when a later era is known, and a function that releases it and reports whether one is.
+func (s *watchState) inEra(ctx context.Context, era core.Era) (context.Context, func() (ended bool)) {
+	s.mu.Lock()
+	begun, ended := s.begun, era < s.era
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	if ended {
+		cancel()
+	}
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-begun:
+			cancel()
+		case <-done:
 		}
+	}()
+	return ctx, func() bool {
+		close(done)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return era < s.era
+	}
+}
+
+// answered records an answer of the store in an era, after which the next call is sent within pause.
+func (s *watchState) answered(c Collection, era core.Era, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era < s.era {
+		return
 	}
+	s.enterLocked(era)
 	s.claims[c].Answer(time.Now(), pause)
 }
 
