gateway: instances that start in a later era wait for a copy; store_era, store_kept; operations

An instance that starts reads the restored store before it hears others, and served a revoked key and an endpoint that leaves until a copy came. From era 2 on it now serves once it has another instance's copy, after 1 s, or if there is no other; no difference before.

TestRestoredStoreUndoesNothing fails without that wait.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -276,21 +276,25 @@
 	return changed
 }
 
-// Kept returns the highest revision of which a content, or a removal, is kept here although a restored store does not have it; 0 if there
-// is none. Another instance that has a lower one may lack it, whatever the revisions of both.
-func (m *Mirror) Kept() core.Revision {
+// Kept returns the highest revision of which a content, or a removal, is kept here although a restored store does not have it, 0 if there
+// is none, and their number. Another instance that has a lower one may lack it, whatever the revisions of both.
+func (m *Mirror) Kept() (highest core.Revision, count int) {
 	if !m.keeps {
-		return 0
+		return 0, 0
+	}
+	add := func(kept core.Revision) {
+		if kept > 0 {
+			highest, count = max(highest, kept), count+1
+		}
 	}
-	highest := core.Revision(0)
 	for _, e := range m.items {
-		highest = max(highest, e.Kept)
+		add(e.Kept)
 	}
 	for _, r := range m.removals {
-		highest = max(highest, r.Kept)
+		add(r.Kept)
 	}
-	m.keeps = highest > 0
-	return highest
+	m.keeps = count > 0
+	return highest, count
 }
 
 // Apply applies all changes from Revision up to a revision, and reports whether anything changed. Newer changes may be among them.
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -43,6 +43,12 @@
 	return out
 }
 
+// kept returns the highest revision of what a mirror keeps.
+func kept(m *mirror.Mirror) core.Revision {
+	rev, _ := m.Kept()
+	return rev
+}
+
 // Guards against an older content, a removed object or a missing one that a restored store brings into force, and against passing any of
 // them on to an instance that has read the store before it heard of others.
 func TestRestoredStore(t *testing.T) {
@@ -60,10 +66,10 @@
 
 	started := mirror.New(restorable)
 	started.Replace(begin, restored, at(2, 4), false)
-	g.Expect(m.Kept()).To(BeNumerically(">", started.Kept()), "this is why it fetches a copy")
+	g.Expect(kept(m)).To(BeNumerically(">", kept(started)), "this is why it fetches a copy")
 	started.Follow(begin, m.Snapshot().Since(1))
 	g.Expect(versions(started)).To(Equal(map[string]int{"newer": 2}))
-	g.Expect(started.Kept()).To(Equal(m.Kept()))
+	g.Expect(kept(started)).To(Equal(kept(m)))
 	started.Replace(begin, restored, at(2, 4), false)
 	g.Expect(versions(started)).To(Equal(map[string]int{"newer": 2}), "also after the next list")
 
@@ -72,7 +78,7 @@
 	g.Expect(versions(m)).To(Equal(map[string]int{"newer": 2, "lost": 1}), "late answers of the former era")
 	m.Apply(begin, []mirror.Item{versioned("newer", at(2, 5), 2), versioned("left", at(2, 6), 2)}, at(2, 6), true)
 	g.Expect(versions(m)).To(Equal(map[string]int{"newer": 2, "left": 2, "lost": 1}), "written again, and by a later process")
-	g.Expect(m.Kept()).To(BeZero())
+	g.Expect(kept(m)).To(BeZero())
 	g.Expect(m.Expire(begin.Add(grace))).To(BeTrue())
 	g.Expect(versions(m)).To(Equal(map[string]int{"newer": 2, "left": 2}))
 }
@@ -185,7 +191,7 @@
 	case !m.Synced():
 	case o.LastChange() > max(m.LastChange(), m.Revision()) || m.Behind() && o.LastChange() > m.Revision():
 		since = m.Revision()
-	case o.Kept() > m.Kept():
+	case kept(o) > kept(m):
 		since = 1
 	default:
 		return false
@@ -294,7 +300,7 @@
 			m.Expire(s.now)
 			m.Replace(s.now, s.items(), s.rev(len(s.log)), false)
 			for from := range s.mirrors {
-				if o := s.mirrors[from]; o.Kept() > m.Kept() {
+				if o := s.mirrors[from]; kept(o) > kept(m) {
 					m.Follow(s.now, o.Snapshot().Since(1))
 				}
 			}
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -206,6 +206,7 @@
 		g.budgets.mu.Unlock()
 	}
 	g.fetchNewer(ctx, now, from, d.Routes, d.Entries, d.Members)
+	g.fetchFirst(ctx, now, from, d.Routes, d.Entries)
 	g.fetchKept(ctx, now, from, d.Kept)
 }
 
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -13,6 +13,13 @@
 	"monsoondale/core/mirror"
 )
 
+const (
+	// firstEra is the highest era of a store that has never been restored, as far as that can be told.
+	firstEra = 1
+	// copyPatience is how long after its start an instance that has read a restored store waits for another instance's copy.
+	copyPatience = time.Second
+)
+
 // registerSpread is the time within which the instances whose entries a restored store lacks write them.
 const registerSpread = time.Second
 
@@ -59,12 +66,13 @@
 // there are none.
 func (g *Gateway) kept() []int {
 	out := make([]int, collectionCount)
-	found := false
+	total := 0
 	for c := range collectionCount {
-		out[c] = int(g.mirrors[c].Kept())
-		found = found || out[c] > 0
+		rev, n := g.mirrors[c].Kept()
+		out[c], total = int(rev), total+n
 	}
-	if !found {
+	g.keptCount.Store(int64(total))
+	if total == 0 {
 		return nil
 	}
 	return out
@@ -75,7 +83,8 @@
 func (g *Gateway) fetchKept(ctx context.Context, now time.Time, m fleet.Member, kept []int) {
 	for c := range min(Collection(len(kept)), collectionCount) {
 		rev := core.Revision(kept[c])
-		if !g.mirrors[c].Synced() || rev <= max(g.mirrors[c].Kept(), g.keptSeen[c]) {
+		own, _ := g.mirrors[c].Kept()
+		if !g.mirrors[c].Synced() || rev <= max(own, g.keptSeen[c]) {
 			continue
 		}
 		// All objects, with the removals after a revision.
@@ -85,6 +94,30 @@
 	}
 }
 
+// mayServe reports whether an instance that starts may serve requests. It may have read a restored store before it heard others, which
+// know newer contents, so it waits for a copy for at most copyPatience.
+func (g *Gateway) mayServe(now time.Time) bool {
+	if !g.mirrors[Configurations].Synced() || !g.mirrors[Endpoints].Synced() {
+		return false
+	}
+	if g.era.Load() <= firstEra || now.Sub(g.start) >= copyPatience || g.copied[Configurations] && g.copied[Endpoints] {
+		return true
+	}
+	return g.mirrors[Instances].Synced() && !lo.ContainsBy(g.mirrors[Instances].Items(), func(it mirror.Item) bool { return it.Name != string(g.o.Settings.Name) })
+}
+
+// fetchFirst fetches copies of another instance, which has some, for an instance that starts.
+func (g *Gateway) fetchFirst(ctx context.Context, now time.Time, m fleet.Member, revisions ...int) {
+	if g.caughtUp || g.era.Load() <= firstEra {
+		return
+	}
+	for c, rev := range revisions {
+		if rev > 0 && !g.copied[c] {
+			g.fetch(ctx, now, Collection(c), m, 1)
+		}
+	}
+}
+
 // checkOwnEntry lets registerAgain write the entry of this instance if a restored store lacks it.
 func (g *Gateway) checkOwnEntry(items []mirror.Item) {
 	era := g.mirrors[Instances].Revision().Era()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	config          atomic.Pointer[proxy.Config]
 	publishedCopies [collectionCount]atomic.Pointer[publishedCopy]
 	era             atomic.Int64 // latest one of the store
+	keptCount       atomic.Int64 // objects that are kept, see mirror.Mirror.Kept
 	ready           atomic.Bool
 	leaving         atomic.Bool
 	// recording is set while a record of the usage of workspaces is being written.
@@ -129,7 +130,9 @@
 	digestNumber      int
 	lastTick          time.Time
 	lastRecordAttempt time.Time
-	partsInForce      bool // requests are served, as parts.known was set
+	copied            [collectionCount]bool // another instance's copy has been applied
+	caughtUp          bool                  // requests are served, as what a restored store may lack is known, see mayServe
+	partsInForce      bool                  // requests are served, as parts.known was set
 	lastWallTime      time.Time
 	keptSeen          [collectionCount]core.Revision // highest one of those that copies were fetched for, see fetchKept
 	partsEra          core.Era                       // for which the parts are due to be written
@@ -155,6 +158,7 @@
 	metrics.NewRegisteredFunctionalGauge("parts.quarantined", g.metrics, func() int64 { n, _ := g.quarantine.Size(); return int64(n) })
 	metrics.NewRegisteredFunctionalGauge("parts.crashes", g.metrics, func() int64 { _, n := g.quarantine.Size(); return int64(n) })
 	metrics.NewRegisteredFunctionalGauge("store.era", g.metrics, g.era.Load)
+	metrics.NewRegisteredFunctionalGauge("store.kept", g.metrics, g.keptCount.Load)
 	for c := range collectionCount {
 		g.mirrors[c] = mirror.New(mirrorOptions(o.Store, c))
 	}
@@ -377,6 +381,11 @@
 		g.publishConfig()
 		g.declareReady()
 	}
+	if !g.caughtUp && g.mayServe(now) {
+		g.caughtUp = true
+		g.publishConfig()
+		g.declareReady()
+	}
 	if g.quarantine.TakeUrgent() {
 		g.fleet.Hasten()
 	}
@@ -472,8 +481,10 @@
 			return
 		}
 	}
+	g.copied[u.collection] = g.copied[u.collection] || u.source != storeSource
 	m := g.mirrors[u.collection]
 	last, era, synced := m.LastChange(), m.Revision().Era(), m.Synced()
+	kept, _ := m.Kept()
 	// A process that has just started has not seen the outage that the marks of others show.
 	u.afterOutage = u.afterOutage || u.source == storeSource && m.HasMissing() && now.Sub(g.start) < recoveryPeriod
 	changed := u.apply(now, m, g.identified(u))
@@ -491,6 +502,10 @@
 	case m.LastChange() > last: // objects that are in doubt
 		g.publish(u.collection)
 		g.fleet.Hasten()
+	default:
+		if k, _ := m.Kept(); k != kept {
+			g.publish(u.collection)
+		}
 	}
 }
 
@@ -539,7 +554,7 @@
 
 // declareReady makes the instance ready once it knows a configuration, the endpoints and the parts in quarantine.
 func (g *Gateway) declareReady() {
-	if g.table != nil && g.mirrors[Endpoints].Synced() && g.partsInForce && !g.ready.Load() {
+	if g.table != nil && g.mirrors[Endpoints].Synced() && g.partsInForce && g.caughtUp && !g.ready.Load() {
 		g.ready.Store(true)
 		g.log.Info("ready", "version", g.table.Version(), "revision", g.mirrors[Endpoints].Revision())
 	}
@@ -631,7 +646,7 @@
 // publishConfig passes the configuration and the pools to the goroutines that serve requests.
 func (g *Gateway) publishConfig() {
 	c := &proxy.Config{Table: g.table, Pools: make(map[route.Service]*pool.Pool, len(g.pools))}
-	if !g.mirrors[Endpoints].Synced() || !g.partsInForce {
+	if !g.mirrors[Endpoints].Synced() || !g.partsInForce || !g.caughtUp {
 		c.Table = nil
 	}
 	for s, p := range g.pools {
