gateway: claims to read the store count in their era only, also in digests

An instance that knows a later era counted others as reading the store that still read the former one, or whose version does not know of eras and so ignores all that a store in a later era says: in a fleet of two versions all three watchers may be of that kind. Digests and summaries now state the era.

--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -99,7 +99,7 @@
 		From: string(g.o.Settings.Name), Address: g.o.Settings.MeshAddress, Centre: string(g.o.Settings.Centre),
 		Start: int(g.start.UnixMilli()), Number: g.digestNumber, Every: int(every.Milliseconds()),
 		Routes: int(g.mirrors[Configurations].LastChange()), Entries: int(g.mirrors[Endpoints].LastChange()),
-		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now), Kept: g.kept(),
+		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now), Kept: g.kept(), Era: int(g.era.Load()),
 	}
 }
 
@@ -109,7 +109,7 @@
 	w := wire.Summary{
 		From: d.From, Address: d.Address, Centre: d.Centre, Start: d.Start, Number: d.Number, Every: d.Every,
 		Heard: s.Heard, Running: s.Running, Silent: fromIDs(s.Silent), Watchers: fromIDs(s.Watchers), Watching: fromIDs(s.Watchers), Young: s.Young,
-		Routes: d.Routes, Entries: d.Entries, Members: d.Members, Kept: d.Kept,
+		Routes: d.Routes, Entries: d.Entries, Members: d.Members, Kept: d.Kept, Era: d.Era,
 	}
 	for name, p := range g.pools {
 		if !g.uses(name) {
@@ -180,7 +180,8 @@
 		return
 	}
 	if !g.fleet.RecordState(now, fleet.State{
-		Member: from, Start: int64(d.Start), Number: int64(d.Number), Every: milliseconds(d.Every), Leaving: d.Leaving, Blind: d.Blind, Watching: d.Watching,
+		Member: from, Start: int64(d.Start), Number: int64(d.Number), Every: milliseconds(d.Every), Leaving: d.Leaving, Blind: d.Blind,
+		Watching: d.Watching && g.isCurrent(d.Era),
 	}) {
 		return
 	}
@@ -213,6 +214,9 @@
 // handleSummary applies the summary of another data centre. direct means that its relay has sent it to this instance, which
 // then passes it on.
 func (g *Gateway) handleSummary(ctx context.Context, now time.Time, w *wire.Summary, direct bool) {
+	if !g.isCurrent(w.Era) {
+		w.Watching = nil
+	}
 	relay := fleet.Member{Name: core.InstanceID(w.From), Address: w.Address, Centre: core.DataCentre(w.Centre)}
 	fresh, primary := g.fleet.RecordSummary(now, fleet.Summary{
 		Relay: relay, Start: int64(w.Start), Number: int64(w.Number), Every: milliseconds(w.Every), Heard: w.Heard, Running: w.Running,
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -62,6 +62,10 @@
 	}
 }
 
+// isCurrent reports whether an instance that knows an era of the store knows the latest one. If not, or if its version does not know of
+// eras, it doesn't read the store for those that do.
+func (g *Gateway) isCurrent(era int) bool { return int64(era) >= g.era.Load() }
+
 // kept returns the revisions of contents that are kept here although the store, since it was restored, has older ones, by collection; nil if
 // there are none.
 func (g *Gateway) kept() []int {
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -33,3 +33,22 @@
 		g.Expect(found).To(BeTrue(), "no watch is renewed within %v after %v", fleet.WatchPeriod/fleet.StoreWatchers, at)
 	}
 }
+
+// Guards against an instance that counts as reading a restored store because of what it has read before, or of a late answer.
+func TestClaimsEndWithTheirEra(t *testing.T) {
+	g := NewWithT(t)
+	s := newWatchState()
+	now := time.Now()
+	s.answered(Configurations, 1, time.Minute)
+	s.answered(Endpoints, 1, time.Minute)
+	g.Expect(s.reads(now)).To(BeTrue())
+	ctx, release := s.inEra(t.Context(), 1)
+	s.answered(Endpoints, 2, time.Minute)
+	g.Expect(s.reads(now)).To(BeFalse())
+	g.Eventually(ctx.Done()).Should(BeClosed(), "its watches end")
+	g.Expect(release()).To(BeTrue())
+	s.answered(Configurations, 1, time.Minute)
+	g.Expect(s.reads(now)).To(BeFalse(), "late")
+	s.answered(Configurations, 2, time.Minute)
+	g.Expect(s.reads(now)).To(BeTrue())
+}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -50,15 +50,16 @@
 // started, in Unix milliseconds; Number counts its digests. Routes, Entries and
 // Members are the revisions of its configuration, its list of endpoints and its
 // list of instances; Kept, if not empty, has for each of these the highest Kept of
-// its items. Blind tells that its last call to the store has failed, Watching that
-// it watches the store for all and that the store answers it. Used is the units
-// that the sender has used for each workspace since its start; Total is those of
-// all instances in the last window, as far as it knows. Centre is the sender's
-// data centre; Every is the number of milliseconds until its next digest. Far are
-// the summaries of other data centres that the sender has received since the last
-// digest. A digest with a summary of the sender's own data centre is for instances
-// of other data centres. Crashes are those of endpoints with requests of the
-// sender, Parts those in quarantine or released lately.
+// its items. Era is the latest era of the store that the sender knows. Blind tells
+// that its last call to the store has failed, Watching that it watches the store
+// for all and that the store answers it. Used is the units that the sender has
+// used for each workspace since its start; Total is those of all instances in the
+// last window, as far as it knows. Centre is the sender's data centre; Every is
+// the number of milliseconds until its next digest. Far are the summaries of other
+// data centres that the sender has received since the last digest. A digest with a
+// summary of the sender's own data centre is for instances of other data centres.
+// Crashes are those of endpoints with requests of the sender, Parts those in
+// quarantine or released lately.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -75,6 +76,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// Era corresponds to the JSON schema field "era".
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Every corresponds to the JSON schema field "every".
 	Every int `json:"every,omitempty,omitzero"`
 
@@ -296,6 +300,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// Era corresponds to the JSON schema field "era".
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Every corresponds to the JSON schema field "every".
 	Every int `json:"every,omitempty,omitzero"`
 
