--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -49,7 +49,7 @@
 
 // observe records a call that was answered at once.
 func (s observedStore) observe(sent time.Time, err error) {
-	if now := time.Now(); now.Sub(sent) < slowAnswer && (err == nil || errors.Is(err, ErrIncomplete) || errors.Is(err, ErrHistoryDropped) || errors.Is(err, ErrChanged)) {
+	if now := time.Now(); now.Sub(sent) < slowAnswer && !errors.Is(err, ErrNotSent) && (err == nil || errors.Is(err, ErrIncomplete) || errors.Is(err, ErrHistoryDropped) || errors.Is(err, ErrChanged)) {
 		s.contact.add(sent, now)
 	}
 }
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -31,6 +31,9 @@
 // since. The collection must then be listed.
 var ErrHistoryDropped = errors.New("history dropped by the store")
 
+// ErrNotSent is part of an error of which the store was not asked, as it was restored since.
+var ErrNotSent = errors.New("not sent to the restored store")
+
 // ErrIncomplete is returned by Store.List, together with objects, if there may be others that cannot be read.
 var ErrIncomplete = errors.New("list incomplete")
 
