--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -49,7 +49,7 @@
 
 // observe records a call that was answered at once.
 func (s observedStore) observe(sent time.Time, err error) {
-	if now := time.Now(); now.Sub(sent) < slowAnswer && (err == nil || errors.Is(err, ErrIncomplete) || errors.Is(err, ErrHistoryDropped) || errors.Is(err, ErrChanged)) {
+	if now := time.Now(); now.Sub(sent) < slowAnswer && !errors.Is(err, ErrNotSent) && (err == nil || errors.Is(err, ErrIncomplete) || errors.Is(err, ErrHistoryDropped) || errors.Is(err, ErrChanged)) {
 		s.contact.add(sent, now)
 	}
 }
@@ -76,11 +76,11 @@
 	return items, rev, err
 }
 
-func (s observedStore) Register(ctx context.Context, m InstanceEntry) error {
+func (s observedStore) Register(ctx context.Context, m InstanceEntry) (core.Era, error) {
 	sent := time.Now()
-	err := s.Store.Register(ctx, m)
+	era, err := s.Store.Register(ctx, m)
 	s.observe(sent, err)
-	return err
+	return era, err
 }
 
 func (s observedStore) Deregister(ctx context.Context, name core.InstanceID) error {
