core/rollout, core/pool: judge a version against the others, and share requests between versions

A sequential test on failures and slow first events, per route and over groups of endpoints; a plan of shares; a gate that bounds what one instance sends to the target. Without an order nothing changes.

--- a/core/id.go
+++ b/core/id.go
@@ -24,6 +24,9 @@
 // EndpointID names an endpoint: a model engine or a plain service.
 type EndpointID string
 
+// SoftwareVersion names a version of the software of endpoints. Versions have no order.
+type SoftwareVersion string
+
 // CallerID names a caller within a workspace.
 type CallerID string
 
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -82,6 +82,7 @@
 		p.sumPeerLoads(now)
 	}
 	p.unreportedRequests = -1
+	p.selectActive(now)
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
@@ -118,13 +119,14 @@
 	if !now.Before(t.req.Deadline) {
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
+	t.filter = p.filter(now, &t.req)
 	candidateSlots := 0 // free slots of the candidates
 	listed := false
-	exclude, outdated, avoidPauses := p.excluded(&t.req), p.reportsOutdated(), p.readsWithoutPause(now, t)
-	trusted := t.spare || p.anyAvailable(now, exclude, &t.req)
+	exclude, outdated, avoidPauses := p.excluded(t), p.reportsOutdated(), p.readsWithoutPause(now, t)
+	trusted := t.spare || p.anyAvailable(now, exclude, t)
 	candidates := p.candidates[:0]
 	for _, e := range p.orderedEndpoints {
-		if slices.Contains(exclude, e.ID) || !t.req.allows(e.ID) {
+		if slices.Contains(exclude, e.ID) || !t.allows(e) {
 			continue
 		}
 		if !e.leaving() {
@@ -149,6 +151,7 @@
 		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
+	candidates = t.preferTarget(candidates)
 	if p.unreportedRequests < 0 {
 		p.unreportedRequests = p.unreported(now)
 	}
@@ -170,9 +173,9 @@
 // anyAvailable reports whether one of the endpoints that a request may be sent to is available. Without one, those that are
 // only suspected are used, and the others are probed sooner: a suspension is a reason to choose another endpoint, not to refuse
 // requests.
-func (p *Pool) anyAvailable(now time.Time, exclude []core.EndpointID, req *Request) bool {
+func (p *Pool) anyAvailable(now time.Time, exclude []core.EndpointID, t *Ticket) bool {
 	return slices.ContainsFunc(p.orderedEndpoints, func(e *endpointState) bool {
-		return e.available(now) && !slices.Contains(exclude, e.ID) && req.allows(e.ID)
+		return e.available(now) && !slices.Contains(exclude, e.ID) && t.allows(e)
 	})
 }
 
@@ -230,7 +233,7 @@
 		return false
 	}
 	for _, e := range p.orderedEndpoints {
-		if e.available(now) && !p.interrupts(now, e, &t.req) {
+		if e.available(now) && t.allows(e) && !p.interrupts(now, e, &t.req) {
 			return true
 		}
 	}
@@ -243,12 +246,13 @@
 }
 
 // excluded returns the endpoints to skip for a request: those that were tried, unless no other is left.
-func (p *Pool) excluded(req *Request) []core.EndpointID {
+func (p *Pool) excluded(t *Ticket) []core.EndpointID {
+	req := &t.req
 	if len(req.Only) > 0 {
 		return nil
 	}
 	for _, e := range p.orderedEndpoints {
-		if !e.leaving() && !slices.Contains(req.Exclude, e.ID) {
+		if !e.leaving() && t.allows(e) && !slices.Contains(req.Exclude, e.ID) {
 			return req.Exclude
 		}
 	}
@@ -284,6 +288,7 @@
 	if e.consecutiveSuspensions > 0 {
 		g.probe, e.probing = true, true
 	}
+	p.countGrant(e)
 	e.ownRunning++
 	e.pendingPrompt += t.req.Prompt
 	return g
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -72,6 +72,8 @@
 	eventInterval average // nanoseconds between events
 
 	created   time.Time
+	coldUntil time.Time    // until which the endpoint is expected to be slow
+	inactive  bool         // endpoint of the target of an order that gets no requests yet
 	streams   int          // streams of this instance that have begun
 	lastBytes atomic.Int64 // when the endpoint last sent a part of a stream, in nanoseconds after created
 	stalledAt time.Time    // when a stream that had begun was last given up because it got nothing more
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -92,7 +92,7 @@
 func (p *Pool) Accepts(now time.Time, g *Grant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return g.endpointState.accepts(now)
+	return g.endpointState.accepts(now) && !p.barred(now, g.endpointState)
 }
 
 // Leaving reports whether the endpoint of a grant is shutting down, according to its entry or its own responses.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"monsoondale/core"
+	"monsoondale/core/rollout"
 )
 
 // Endpoint is an entry of the list of endpoints.
@@ -20,8 +21,11 @@
 	ID      core.EndpointID
 	Address string // IP and port
 	Centre  core.DataCentre
-	Slots   int  // maximum number of concurrent requests
-	Leaving bool // shutting down; gets no new requests
+	Version core.SoftwareVersion // empty if unknown
+	Slots   int                  // maximum number of concurrent requests
+	Leaving bool                 // shutting down; gets no new requests
+	// Cold is how long the endpoint stays slow after this entry was written.
+	Cold time.Duration
 	// Incarnation distinguishes restarts under the same id; 0 if unknown.
 	Incarnation int64
 	// Sequence is the number of the entry within the incarnation.
@@ -38,6 +42,7 @@
 type Request struct {
 	ID        core.RequestID
 	Tier      core.Tier
+	Route     string // its name
 	Prompt    core.Tokens
 	MaxOutput core.Tokens // upper bound; 0 if the request does not state it
 	// Arrived is the time at which the request had been read completely.
@@ -156,7 +161,8 @@
 	late    bool // the request can no longer be on time
 	closed  bool // decided or withdrawn; no longer in the queue
 	// spare marks a request that another endpoint is working on, so that it is not refused if it gets none.
-	spare bool
+	spare  bool
+	filter rollout.Filter // at the last decision
 }
 
 // Options configures a Pool.
@@ -182,6 +188,7 @@
 	endpoints          map[core.EndpointID]*endpointState
 	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance run there
 	notices            map[core.EndpointID]*noticeState
+	rollout            *rolloutState    // nil without an order
 	orderedEndpoints   []*endpointState // by id
 	queue              []*Ticket        // in the order of precedes
 	peers              map[core.InstanceID]*peerReport
@@ -224,7 +231,7 @@
 			e = p.gone[entry.ID]
 		}
 		if e == nil || e.Address != entry.Address || e.Incarnation != entry.Incarnation {
-			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now}
+			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now, coldUntil: now.Add(entry.Cold)}
 		}
 		p.endpoints[entry.ID] = e
 		delete(p.gone, entry.ID)
@@ -319,6 +326,7 @@
 	g.endpointState.pendingPrompt -= g.req.Prompt
 	g.endProbe()
 	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
+	p.recordBegin(now, g, s)
 	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
 		p.samples = append(p.samples, s)
@@ -391,6 +399,7 @@
 		}
 	}
 	g.endProbe()
+	p.recordEnd(g, o)
 	p.updateAndLog(now, e, func() { e.recordOutcome(now, o) })
 	if (o == Broken || o == Unreachable || o == Silent || o == TimedOut) && len(p.failures) < maxReportEntries {
 		p.failures = append(p.failures, e.ID)
