gateway, platform: carry out orders to move a service to another version

Orders are a collection beside the others, followed only where the settings have the contract. The instance that acts for all decides, states shares in digests and writes the state on the object's revision; all instances judge.

--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -20,22 +20,22 @@
 
 // Gate bounds what one instance sends to the target of an order. Its zero value bounds nothing. It is not safe for concurrent use.
 type Gate struct {
-	Order    uint64
 	Target   core.SoftwareVersion
 	State    State
 	Step     Step
 	Heard    time.Time // when a step was last heard from the decider
 	Exposure float64
-	Slack    float64 // requests beyond the exposure; the part of this instance
-	Stopped  bool    // the evidence of this instance is against the target
+	Slack    float64       // requests beyond the exposure; the part of this instance
+	Silence  time.Duration // without news from the decider, after which the target gets nothing
+	Stopped  bool          // the evidence of this instance is against the target
 	since    time.Time
 
 	requests, exposed int // sent to the service, and to the target, since the order was seen
 }
 
 // NewGate returns the gate of an order, which lets nothing pass until a step is set.
-func NewGate(now time.Time, o *Order, exposure, slack float64) *Gate {
-	return &Gate{Order: o.ID, Target: o.Target, State: o.State, Exposure: exposure, Slack: slack, since: now}
+func NewGate(now time.Time, o *Order, exposure, slack float64, silence time.Duration) *Gate {
+	return &Gate{Target: o.Target, State: o.State, Exposure: exposure, Slack: slack, Silence: silence, since: now}
 }
 
 // SetState sets the state of the order.
@@ -52,6 +52,8 @@
 		return 1
 	case g.State == Reverted || g.Step.Bad || g.Stopped:
 		return 0
+	case now.Sub(g.Heard) > g.Silence:
+		return 0
 	case now.Sub(g.Heard) > shareValidity:
 		return min(g.Step.Share, canaryPart*g.Exposure)
 	}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -133,6 +133,9 @@
 	return v
 }
 
+// JudgeRoute judges a version by what was seen on one route.
+func JudgeRoute(route string, s Sides) Verdict { return judge(route, s, s, 0) }
+
 func judge(route string, s, total Sides, span time.Duration) Verdict {
 	var v Verdict
 	for _, t := range tests {
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -77,6 +77,7 @@
 		d.Used, d.Total = g.encodeUsage(now, r)
 		parts := g.quarantine.Report(now, quarantine.Near)
 		d.Crashes, d.Parts = encodeCrashes(parts.Crashes), encodeParts(parts.Entries)
+		d.Rollouts = g.encodeOrders(now, false)
 		n := min(len(g.forward), maxForwarded)
 		d.Far, g.forward = g.forward[:n:n], g.forward[n:]
 		g.send(d, g.fleet.StateTargets())
@@ -99,7 +100,7 @@
 		From: string(g.o.Settings.Name), Address: g.o.Settings.MeshAddress, Centre: string(g.o.Settings.Centre),
 		Start: int(g.start.UnixMilli()), Number: g.digestNumber, Every: int(every.Milliseconds()),
 		Routes: int(g.mirrors[Configurations].LastChange()), Entries: int(g.mirrors[Endpoints].LastChange()),
-		Members: int(g.mirrors[Instances].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now),
+		Members: int(g.mirrors[Instances].LastChange()), Orders: int(g.mirrors[Rollouts].LastChange()), Leaving: g.leaving.Load(), Blind: g.watch.unreadable.Load() > 0, Watching: g.watch.proven(now),
 	}
 }
 
@@ -109,7 +110,7 @@
 	w := wire.Summary{
 		From: d.From, Address: d.Address, Centre: d.Centre, Start: d.Start, Number: d.Number, Every: d.Every,
 		Heard: s.Heard, Running: s.Running, Silent: fromIDs(s.Silent), Watchers: fromIDs(s.Watchers), Watching: fromIDs(s.Watchers), Young: s.Young,
-		Routes: d.Routes, Entries: d.Entries, Members: d.Members,
+		Routes: d.Routes, Entries: d.Entries, Members: d.Members, Orders: d.Orders,
 	}
 	for name, p := range g.pools {
 		if !g.uses(name) {
@@ -125,6 +126,7 @@
 	w.Used, w.Total = g.encodeUsage(now, r)
 	parts := g.quarantine.Report(now, quarantine.Far)
 	w.Crashes, w.Parts = encodeCrashes(parts.Crashes), encodeParts(parts.Entries)
+	w.Rollouts = g.encodeOrders(now, true)
 	return w
 }
 
@@ -194,6 +196,7 @@
 		return // without loads and usage of its own
 	}
 	g.applyQuarantine(now, d.Crashes, d.Parts, true)
+	g.applyOrders(now, source{instance: from.Name, start: int64(d.Start), centre: from.Centre}, d.Rollouts)
 	sameCentre := from.Centre == g.o.Settings.Centre
 	// What an instance elsewhere has done is part of the sum of its data centre.
 	if sameCentre || g.fleet.Flat() || !g.fleet.CentreHeard(now, from.Centre) {
@@ -205,7 +208,7 @@
 		})
 		g.budgets.mu.Unlock()
 	}
-	g.fetchNewer(ctx, now, from, d.Routes, d.Entries, d.Members)
+	g.fetchNewer(ctx, now, from, d.Routes, d.Entries, d.Members, d.Orders)
 }
 
 // handleSummary applies the summary of another data centre. direct means that its relay has sent it to this instance, which
@@ -223,6 +226,7 @@
 		g.forward = append(slices.DeleteFunc(g.forward, func(s wire.Summary) bool { return s.From == w.From }), *w)
 	}
 	g.applyQuarantine(now, w.Crashes, w.Parts, false)
+	g.applyOrders(now, source{centre: relay.Centre}, w.Rollouts)
 	validity := fleet.Validity(milliseconds(w.Every) + g.fleet.Interval())
 	if primary {
 		g.applyReports(now, core.InstanceID("centre "+w.Centre), false, w.Pools, reportAge(w.Age), validity)
@@ -232,13 +236,14 @@
 		Start: time.UnixMilli(int64(w.Start)), Used: usage(w.Used), Total: usage(w.Total), Validity: validity, Age: reportAge(w.Age),
 	})
 	g.budgets.mu.Unlock()
-	if direct || !g.behindSince[Configurations].IsZero() && now.Sub(g.behindSince[Configurations]) > farFetchDelay ||
+	if direct || !g.behindSince[Rollouts].IsZero() && now.Sub(g.behindSince[Rollouts]) > farFetchDelay ||
+		!g.behindSince[Configurations].IsZero() && now.Sub(g.behindSince[Configurations]) > farFetchDelay ||
 		!g.behindSince[Endpoints].IsZero() && now.Sub(g.behindSince[Endpoints]) > farFetchDelay {
-		g.fetchNewer(ctx, now, relay, w.Routes, w.Entries, w.Members)
+		g.fetchNewer(ctx, now, relay, w.Routes, w.Entries, w.Members, w.Orders)
 		return
 	}
-	for c, rev := range []int{Configurations: w.Routes, Endpoints: w.Entries, Instances: w.Members} {
-		if core.Revision(rev) > g.mirrors[c].LastChange() && g.behindSince[c].IsZero() {
+	for c, rev := range []int{Configurations: w.Routes, Endpoints: w.Entries, Instances: w.Members, Rollouts: w.Orders} {
+		if core.Revision(rev) > g.mirrors[c].LastChange() && (Collection(c) != Rollouts || g.o.Settings.Rollouts.Enabled) && g.behindSince[c].IsZero() {
 			g.behindSince[c] = now
 		}
 	}
@@ -262,8 +267,11 @@
 }
 
 // fetchNewer fetches another instance's copies of the collections of which it has a newer revision.
-func (g *Gateway) fetchNewer(ctx context.Context, now time.Time, m fleet.Member, routes, entries, members int) {
-	for c, rev := range []int{Configurations: routes, Endpoints: entries, Instances: members} {
+func (g *Gateway) fetchNewer(ctx context.Context, now time.Time, m fleet.Member, routes, entries, members, orders int) {
+	for c, rev := range []int{Configurations: routes, Endpoints: entries, Instances: members, Rollouts: orders} {
+		if Collection(c) == Rollouts && !g.o.Settings.Rollouts.Enabled {
+			continue
+		}
 		g.fetchIfNewer(ctx, now, Collection(c), m, core.Revision(rev))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,8 @@
 	publishedCopies [collectionCount]atomic.Pointer[publishedCopy]
 	ready           atomic.Bool
 	leaving         atomic.Bool
+	orders          atomic.Pointer[wire.Orders] // as of the last update, for operators
+	stops           chan route.Service          // of orders, by operators
 	// recording is set while a record of the usage of workspaces is being written.
 	recording atomic.Bool
 	// quarantine holds the parts of prompts that crash endpoints.
@@ -122,6 +124,8 @@
 	fetches           [collectionCount]fetches          // of copies from other instances, in progress
 	stated            watchStatement
 	digestNumber      int
+	ordersUpdated     time.Time                // when updateOrders last ran
+	rollouts          map[route.Service]*order // orders in the store
 	lastTick          time.Time
 	lastRecordAttempt time.Time
 	partsInForce      bool // requests are served, as parts.known was set
@@ -140,7 +144,8 @@
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
 		pools:     map[route.Service]*pool.Pool{},
 		addresses: map[string]*net.UDPAddr{},
-		fleet:     fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
+		rollouts:  map[route.Service]*order{}, stops: make(chan route.Service, 8),
+		fleet: fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
 	g.budgets = newBudgets(g.start, s)
 	g.quarantine = quarantine.New(quarantine.Options{Log: o.Log})
@@ -148,7 +153,7 @@
 	metrics.NewRegisteredFunctionalGauge("parts.crashes", g.metrics, func() int64 { _, n := g.quarantine.Size(); return int64(n) })
 	for c := range collectionCount {
 		o := mirror.Options{}
-		if c == Endpoints {
+		if c == Endpoints || c == Rollouts {
 			o.Grace = endpointGrace
 		}
 		g.mirrors[c] = mirror.New(o)
@@ -187,6 +192,9 @@
 		g.controlLoop(ctx)
 	}()
 	for c := range collectionCount {
+		if c == Rollouts && !s.Rollouts.Enabled {
+			continue
+		}
 		w := &storeWatcher{collection: c, store: o.Store, log: g.log, updates: g.updates, watch: g.watch, mirrorRevision: &g.revisions[c], contact: calls}
 		g.wg.Add(1)
 		go func() {
@@ -223,6 +231,8 @@
 	})
 	scrape.HandleFunc("GET /parts", g.listParts)
 	scrape.HandleFunc("DELETE /parts/{id}", g.releaseParts)
+	scrape.HandleFunc("GET /rollouts", g.listOrders)
+	scrape.HandleFunc("DELETE /rollouts/{service}", g.stopOrder)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -332,9 +342,12 @@
 			g.applyUpdate(time.Now(), u)
 		case d := <-g.digests:
 			g.handleDigest(ctx, time.Now(), &d)
+		case s := <-g.stops:
+			g.rejectOrder(time.Now(), s)
 		case <-t.C:
 			now := time.Now()
 			g.tick(now)
+			g.updateOrders(ctx, now)
 			g.recordUsage(ctx, now)
 			g.saveParts(ctx, now)
 		}
@@ -508,6 +521,8 @@
 		g.activateEndpoints(now, items, source)
 	case Instances:
 		g.activateMembers(now, items)
+	case Rollouts:
+		g.activateOrders(now, items)
 	}
 	g.declareReady()
 }
@@ -589,6 +604,7 @@
 			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s)})
 		}
 	}
+	g.attachOrders(now)
 	for s, p := range g.pools {
 		p.SetEndpoints(now, lists[s])
 		if len(lists[s]) == 0 && !g.uses(s) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,6 +31,17 @@
 	RetryRatio  float64       // retries allowed per request
 	RetryExtra  float64       // further retries allowed in a window
 	RetryWindow time.Duration // span in which requests and retries are counted
+	// Rollouts bounds what a version gets while the traffic of a service moves to it.
+	Rollouts RolloutSettings
 	// QuotaWindow is the span in which the usage of a workspace is counted.
 	QuotaWindow time.Duration
 }
+
+// RolloutSettings are the settings for orders to move services to other versions.
+type RolloutSettings struct {
+	Enabled bool // without it, such orders are not read
+	// Exposure is the part of a service's requests that a version may get until it is trusted, and Slack the number beyond that.
+	Exposure, Slack float64
+	// Rollback is the time within which all instances must have stopped sending requests to a version that is bad.
+	Rollback time.Duration
+}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -9,6 +9,7 @@
 	"monsoondale/core"
 	"monsoondale/core/mirror"
 	"monsoondale/core/pool"
+	"monsoondale/core/rollout"
 	"monsoondale/core/route"
 )
 
@@ -20,11 +21,13 @@
 	Configurations Collection = iota
 	Endpoints
 	Instances
+	// Rollouts are orders to move services to other versions. They are followed only if Settings.Rollouts says so.
+	Rollouts
 	collectionCount
 )
 
 func (c Collection) String() string {
-	return [...]string{"configuration", "endpoints", "instances"}[c]
+	return [...]string{"configuration", "endpoints", "instances", "rollouts"}[c]
 }
 
 // ErrHistoryDropped is returned by Store.Watch if the store has discarded changes after the given revision. The
@@ -64,4 +67,9 @@
 	Table(it mirror.Item) (*route.Table, error)
 	Endpoint(it mirror.Item) (route.Service, pool.Endpoint, error)
 	InstanceEntry(it mirror.Item) (InstanceEntry, error)
+	// Order decodes an order to move a service to another version. One that can be identified but not carried out is returned with the
+	// reason.
+	Order(it mirror.Item) (route.Service, rollout.Order, error)
+	// SaveOrderState writes the state of an order that has not changed since it was read, or fails with ErrChanged.
+	SaveOrderState(ctx context.Context, it mirror.Item, o rollout.Order, s rollout.State) error
 }
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -18,7 +18,7 @@
 
 const (
 	// instanceWatchDuration is the duration of a watch of the list of instances, which also learn of each other from
-	// digests.
+	// digests, and of the orders, which are rare.
 	instanceWatchDuration = 10 * time.Second
 	// startDelay is how long a watcher waits after its start for another instance's copy before it calls the store.
 	startDelay = 150 * time.Millisecond
@@ -36,7 +36,7 @@
 
 // batchPause is the mean pause between two watches of a collection, in which changes accumulate: calls to the store are
 // limited, and heartbeats of endpoints may cause many changes.
-var batchPause = []time.Duration{Configurations: 0, Endpoints: 200 * time.Millisecond, Instances: 200 * time.Millisecond}
+var batchPause = []time.Duration{Configurations: 0, Endpoints: 200 * time.Millisecond, Instances: 200 * time.Millisecond, Rollouts: 200 * time.Millisecond}
 
 // maxPause returns the longest pause between two watches of a collection.
 func maxPause(c Collection) time.Duration { return batchPause[c] * 3 / 2 }
@@ -100,7 +100,8 @@
 		if rev := core.Revision(w.mirrorRevision.Load()); rev > w.rev {
 			w.rev, w.sent, w.hasBaseline = rev, rev, true
 		}
-		if w.hasBaseline && w.outageStart.IsZero() && !w.watch.watches() {
+		// Only those that watch the store read orders there, the others copies.
+		if (w.hasBaseline && w.outageStart.IsZero() || w.collection == Rollouts) && !w.watch.watches() {
 			w.watch.await(ctx, w.collection)
 			continue
 		}
@@ -218,9 +219,9 @@
 	return !slices.ContainsFunc(changes, func(it mirror.Item) bool { return !it.Identified() })
 }
 
-// watchDuration returns the duration of the next watch. The list of instances is watched for instanceWatchDuration.
+// watchDuration returns the duration of the next watch. The list of instances and the orders are watched for instanceWatchDuration.
 func (w *storeWatcher) watchDuration(now time.Time) time.Duration {
-	if w.collection == Instances {
+	if w.collection == Instances || w.collection == Rollouts {
 		return instanceWatchDuration
 	}
 	return fleet.WatchDuration(now, int(w.watch.index.Load()), w.watch.claimed(now, w.collection))
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -595,7 +595,7 @@
 // poolRequest returns the request as the pool sees it.
 func (x *exchange) poolRequest() pool.Request {
 	req := pool.Request{
-		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
+		ID: x.info.ID, Tier: x.tier(), Route: x.route.Name, Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
 		Rank: int(x.route.Tier), Objective: x.objective, GapObjective: x.route.GapObjective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
 		Stream: x.route.Kind == route.Stream, Retried: x.sends > 0, Begun: x.headerWritten,
 	}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -92,12 +92,18 @@
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders int `json:"orders,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "parts".
 	Parts []Part `json:"parts,omitempty,omitzero"`
 
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
+	// Rollouts corresponds to the JSON schema field "rollouts".
+	Rollouts []Rollout `json:"rollouts,omitempty,omitzero"`
+
 	// Routes corresponds to the JSON schema field "routes".
 	Routes int `json:"routes,omitempty,omitzero"`
 
@@ -148,6 +154,53 @@
 	Revision int `json:"revision"`
 }
 
+// Order is the state of an order at an instance, for operators. Share is in
+// millionths; Requests and Exposed count what the instance has sent to the service
+// and to the version, Responses and Bad what the fleet has seen of the version.
+type Order struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Bad corresponds to the JSON schema field "bad".
+	Bad int `json:"bad,omitempty,omitzero"`
+
+	// Duration corresponds to the JSON schema field "duration".
+	Duration int `json:"duration,omitempty,omitzero"`
+
+	// Exposed corresponds to the JSON schema field "exposed".
+	Exposed int `json:"exposed,omitempty,omitzero"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests,omitempty,omitzero"`
+
+	// Responses corresponds to the JSON schema field "responses".
+	Responses int `json:"responses,omitempty,omitzero"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes []Verdict `json:"routes,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Share corresponds to the JSON schema field "share".
+	Share int `json:"share,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State string `json:"state"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target"`
+
+	// Verdict corresponds to the JSON schema field "verdict".
+	Verdict string `json:"verdict,omitempty,omitzero"`
+}
+
+// Orders lists the orders that an instance knows.
+type Orders struct {
+	// Orders corresponds to the JSON schema field "orders".
+	Orders []Order `json:"orders,omitempty,omitzero"`
+}
+
 // Part is a part of prompts that is in quarantine, or has been released. Crashes
 // and Requests are the numbers of crashes and of requests under them that led to
 // the quarantine, Trials the requests that were sent in spite of it, and Idle the
@@ -263,6 +316,51 @@
 
 type RecordSlices map[string][]float64
 
+// Rollout is what the sender knows of an order to move a service to another
+// version, which was given Age milliseconds ago. Step numbers the decisions on
+// Share, in millionths of the requests; Since is the milliseconds since the sender
+// has heard it from who decides. Bad tells that the version is not to be used.
+// Routes is what was seen since the order.
+type Rollout struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Bad corresponds to the JSON schema field "bad".
+	Bad bool `json:"bad,omitempty,omitzero"`
+
+	// Order corresponds to the JSON schema field "order".
+	Order string `json:"order"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes []Seen `json:"routes,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Share corresponds to the JSON schema field "share".
+	Share int `json:"share,omitempty,omitzero"`
+
+	// Since corresponds to the JSON schema field "since".
+	Since int `json:"since,omitempty,omitzero"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step,omitempty,omitzero"`
+}
+
+// Seen counts the responses on a route, of the version that is asked for and of
+// the others. Each list has, for each group of endpoints, the responses that
+// began, those that began late, those that ended, and those that were failures.
+type Seen struct {
+	// Others corresponds to the JSON schema field "others".
+	Others []int `json:"others"`
+
+	// Route corresponds to the JSON schema field "route".
+	Route string `json:"route"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target []int `json:"target"`
+}
+
 // Summary is the state of a data centre, as the instance From sums it up. Heard
 // and Running count its instances that are heard and that may be running; Silent
 // are those that are listed but not heard. Watching are the first that watch the
@@ -302,12 +400,18 @@
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders int `json:"orders,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "parts".
 	Parts []Part `json:"parts,omitempty,omitzero"`
 
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
+	// Rollouts corresponds to the JSON schema field "rollouts".
+	Rollouts []Rollout `json:"rollouts,omitempty,omitzero"`
+
 	// Routes corresponds to the JSON schema field "routes".
 	Routes int `json:"routes,omitempty,omitzero"`
 
@@ -339,3 +443,18 @@
 type SummaryTotal map[string]float64
 
 type SummaryUsed map[string]float64
+
+// Verdict is how an instance judges a version on a route.
+type Verdict struct {
+	// Bad corresponds to the JSON schema field "bad".
+	Bad int `json:"bad"`
+
+	// Responses corresponds to the JSON schema field "responses".
+	Responses int `json:"responses"`
+
+	// Route corresponds to the JSON schema field "route".
+	Route string `json:"route"`
+
+	// Verdict corresponds to the JSON schema field "verdict".
+	Verdict string `json:"verdict"`
+}
