--- a/commands/commands.go
+++ b/commands/commands.go
@@ -44,6 +44,7 @@
 	History  historyCmd  `cmd:"" help:"List changes of templates and workspaces."`
 	Report   reportCmd   `cmd:"" help:"Print what became of the requests."`
 	Fleet    fleetCmd    `cmd:"" help:"Show the state of a fleet of gateways, as their logs tell it."`
+	Rollout  rolloutCmd  `cmd:"" help:"Show or stop the orders of a fleet of gateways to move services to another version."`
 	Parts    partsCmd    `cmd:"" help:"List or release the parts of prompts that a fleet of gateways has quarantined."`
 	Explain  explainCmd  `cmd:"" help:"Print what the logs of instances tell of a request."`
 	Validate validateCmd `cmd:"" help:"Check settings, templates and workspaces without a server."`
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -102,6 +102,7 @@
 		}
 		// Only those that watch the store read orders there, the others copies.
 		if (w.hasBaseline && w.outageStart.IsZero() || w.collection == Rollouts) && !w.watch.watches() {
+			w.endOutage()
 			w.watch.await(ctx, w.collection)
 			continue
 		}
@@ -138,6 +139,14 @@
 	}
 }
 
+// endOutage ends an outage that this instance no longer watches, as one that does not read a collection does not lack it.
+func (w *storeWatcher) endOutage() {
+	if !w.outageStart.IsZero() {
+		w.outageStart = time.Time{}
+		w.watch.unreadable.Add(-1)
+	}
+}
+
 // fetch makes one call to the store and forwards the result.
 func (w *storeWatcher) fetch(ctx context.Context) error {
 	start := time.Now()
