--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -399,7 +399,7 @@
 		}
 	}
 	g.endProbe()
-	p.recordEnd(g, o)
+	p.recordEnd(now, g, o)
 	p.updateAndLog(now, e, func() { e.recordOutcome(now, o) })
 	if (o == Broken || o == Unreachable || o == Silent || o == TimedOut) && len(p.failures) < maxReportEntries {
 		p.failures = append(p.failures, e.ID)
--- a/core/pool/rollout.go
+++ b/core/pool/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoondale/core"
 	"monsoondale/core/rollout"
 )
 
@@ -18,6 +19,7 @@
 type rolloutState struct {
 	gate     *rollout.Gate
 	evidence rollout.Evidence
+	targets  int // endpoints of the target that accept requests
 }
 
 // RolloutReport is the state of a pool while an order concerns its service.
@@ -27,6 +29,7 @@
 	Exposed      int
 	TargetSlots  int // of endpoints of the target that accept requests
 	OtherSlots   int // of the other ones
+	Others       int // listed endpoints of other versions
 	OtherRunning int // known requests of all instances there
 }
 
@@ -68,6 +71,7 @@
 		case e.Version == target && e.accepts(now):
 			r.TargetSlots += e.capacity()
 		case e.Version != target:
+			r.Others++
 			r.OtherRunning += e.totalRunning()
 			if e.accepts(now) {
 				r.OtherSlots += e.capacity()
@@ -92,6 +96,7 @@
 			groups[i], n = append(groups[i], e), n+1
 		}
 	}
+	p.rollout.targets = n
 	left := g.Active(now, n)
 	for round := 0; left > 0; round++ {
 		for _, list := range groups {
@@ -104,7 +109,7 @@
 
 // filter decides which versions a request may go to.
 func (p *Pool) filter(now time.Time, req *Request) rollout.Filter {
-	if p.rollout == nil {
+	if p.rollout == nil || p.rollout.gate.State == rollout.Complete && p.rollout.targets == 0 { // the version may have been replaced since
 		return rollout.Filter{}
 	}
 	return p.rollout.gate.Filter(now, req.ID)
@@ -153,12 +158,10 @@
 // recordBegin records a first event as evidence. Endpoints are slow after their start, whatever their version.
 func (p *Pool) recordBegin(now time.Time, g *Grant, s Sample) {
 	e := g.endpointState
-	if p.rollout == nil || now.Before(e.coldUntil) || p.model.n < minSlowdownWeight {
+	if p.rollout == nil || p.rollout.gate.State.Final() || now.Before(e.coldUntil) || p.model.n < minSlowdownWeight {
 		return
 	}
-	constant, slope := p.model.coefficients()
-	expected := time.Duration(constant + slope*float64(s.PromptBacklog))
-	slow := s.Latency > minSlow && float64(s.Latency) > slowRatio*float64(expected)
+	slow := p.slow(s.PromptBacklog, s.Latency)
 	p.rollout.evidence.Record(g.req.Route, e.Version == p.rollout.gate.Target, e.ID, func(c *rollout.Count) {
 		c.Began++
 		if slow {
@@ -167,11 +170,21 @@
 	})
 }
 
-// recordEnd records the end of a request as evidence, unless it says nothing about the endpoint's version.
-func (p *Pool) recordEnd(g *Grant, o Outcome) {
-	if p.rollout == nil {
+// slow reports whether a first event takes long for the prompt tokens before it.
+func (p *Pool) slow(backlog core.Tokens, latency time.Duration) bool {
+	constant, slope := p.model.coefficients()
+	return latency > minSlow && float64(latency) > slowRatio*(constant+slope*float64(backlog))
+}
+
+// recordEnd records the end of a request as evidence, unless it says nothing about the endpoint's version. One whose caller has left before
+// a first event that was late already counts as slow: callers do not wait for very slow ones.
+func (p *Pool) recordEnd(now time.Time, g *Grant, o Outcome) {
+	if p.rollout == nil || p.rollout.gate.State.Final() {
 		return
 	}
+	if waited := now.Sub(g.sent); o == Cancelled && !g.responseBegan && p.slow(g.promptBacklog, waited) {
+		p.recordBegin(now, g, Sample{PromptBacklog: g.promptBacklog, Latency: waited})
+	}
 	failed := o == ServerError || o == Broken || o == Silent
 	if !failed && o != Served {
 		return
--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -80,7 +80,7 @@
 	f := Filter{on: true, target: g.Target, othersExcluded: share >= 1}
 	const scale = 1 << 20
 	f.allowed = share > 0 && float64(xxhash.Sum64String(string(id))%scale) < share*scale
-	if g.State != Complete && g.Step.Share <= canaryPart*g.Exposure+1e-9 && float64(g.exposed+1) > g.Exposure*float64(g.requests+1)+g.Slack {
+	if g.State != Complete && g.Step.Share <= canaryPart*g.Exposure+shareTolerance && float64(g.exposed+1) > g.Exposure*float64(g.requests+1)+g.Slack {
 		f.allowed = false
 	}
 	return f
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -80,6 +80,7 @@
 	ShareFor     time.Duration // for how long
 	TargetSlots  int           // of endpoints of the target that accept requests
 	OtherSlots   int           // of the other ones
+	Others       int           // listed endpoints of other versions
 	OtherRunning int           // requests there
 }
 
@@ -99,11 +100,13 @@
 		return 0, Reverted, "no endpoints of the target"
 	case s.TargetSlots == 0:
 		return 0, Running, "no endpoints of the target yet"
-	case part < trustAfter:
+	case s.Others == 0 && s.Share < 1:
+		return 1, Running, "no endpoints of other versions"
+	case part < trustAfter && s.Others > 0:
 		return canaryPart * s.Exposure, Running, "not judged yet"
 	case s.Verdict.Suspect && part < doubtUntil:
 		return max(canaryPart*s.Exposure, s.Share), Running, "suspect: " + s.Verdict.String()
-	case s.Verdict.Suspect && s.Share <= canaryPart*s.Exposure:
+	case s.Verdict.Suspect && s.Share <= canaryPart*s.Exposure+shareTolerance:
 		return 0, Reverted, "still suspect: " + s.Verdict.String()
 	}
 	// The target takes no more than its slots carry, unless there are no others.
@@ -112,7 +115,7 @@
 		room = min(float64(s.TargetSlots)/float64(s.OtherSlots)/minRoom, 1)
 	}
 	share = min(s.Share, room)
-	if s.Share <= canaryPart*s.Exposure || s.ShareFor >= time.Duration(growthStep*float64(o.Duration)) {
+	if s.Share <= canaryPart*s.Exposure+shareTolerance || s.ShareFor >= time.Duration(growthStep*float64(o.Duration)) {
 		share = min(grow(s.Share), room)
 	}
 	switch {
@@ -136,5 +139,8 @@
 	return 1
 }
 
+// shareTolerance is by how much a share may differ that was rounded for a message.
+const shareTolerance = 1e-6
+
 // minRoom is the number of slots of the target, for each of the others, from which it takes all traffic.
 const minRoom = 0.5
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -77,7 +77,7 @@
 			})
 		}
 		before := share
-		share, out.state, out.why = o.Decide(Situation{Age: age, Exposure: 0.1, Verdict: j.Judge(epoch.Add(age), e), TargetSlots: w.endpoints, OtherSlots: w.endpoints, Share: share, ShareFor: age - since})
+		share, out.state, out.why = o.Decide(Situation{Age: age, Exposure: 0.1, Verdict: j.Judge(epoch.Add(age), e), TargetSlots: w.endpoints, OtherSlots: w.endpoints, Others: w.endpoints, Share: share, ShareFor: age - since})
 		if share != before {
 			since = age
 		}
@@ -162,3 +162,100 @@
 	}
 	return ids
 }
+
+// TestDecide shows the decisions that need no evidence.
+func TestDecide(t *testing.T) {
+	half := Situation{Age: 6 * time.Second, Exposure: 0.1, TargetSlots: 8, OtherSlots: 8, Others: 2}
+	at := func(age time.Duration, change func(s *Situation)) Situation {
+		s := half
+		s.Age = age
+		change(&s)
+		return s
+	}
+	as := func(share float64, span time.Duration) func(s *Situation) {
+		return func(s *Situation) { s.Share, s.ShareFor, s.OtherRunning = share, span, 3 }
+	}
+	for _, c := range []struct {
+		name  string
+		order Order
+		s     Situation
+		share float64
+		state State
+	}{
+		{"canary", Order{}, half, 0.09, Running},
+		{"grows", Order{}, at(7*time.Second, as(0.09, time.Second)), 0.25, Running},
+		{"grows step by step", Order{}, at(7*time.Second, as(0.25, 100*time.Millisecond)), 0.25, Running},
+		{"waits for requests elsewhere", Order{}, at(8*time.Second, as(1, 2*time.Second)), 1, Running},
+		{"waits no longer", Order{}, at(11*time.Second, as(1, 2*time.Second)), 1, Complete},
+		{"few slots", Order{}, at(7*time.Second, func(s *Situation) { s.Share, s.ShareFor, s.TargetSlots = 0.25, time.Second, 1 }), 0.25, Running},
+		{"few slots to the end", Order{}, at(11*time.Second, func(s *Situation) { s.Share, s.ShareFor, s.TargetSlots = 0.25, time.Second, 1 }), 0, Reverted},
+		{"no endpoints yet", Order{}, at(6*time.Second, func(s *Situation) { s.TargetSlots = 0 }), 0, Running},
+		{"no endpoints", Order{}, at(10*time.Second, func(s *Situation) { s.TargetSlots = 0 }), 0, Reverted},
+		{"no others", Order{}, at(time.Second, func(s *Situation) { s.Others, s.OtherSlots = 0, 0 }), 1, Running},
+		{"suspect", Order{}, at(7*time.Second, func(s *Situation) { s.Share, s.Verdict.Suspect = 0.09, true }), 0.09, Running},
+		{"still suspect", Order{}, at(10*time.Second, func(s *Situation) { s.Share, s.Verdict.Suspect = 0.09, true }), 0, Reverted},
+		{"bad at the full share", Order{}, at(8*time.Second, func(s *Situation) { s.Share, s.Verdict.Bad = 1, true }), 0, Reverted},
+		{"invalid", Order{Invalid: "x"}, half, 0, Reverted},
+		{"too short", Order{Duration: time.Second}, half, 0, Reverted},
+		{"final", Order{State: Complete}, half, 0, Complete},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			if c.order.Duration == 0 {
+				c.order.Duration = 12 * time.Second
+			}
+			share, state, why := c.order.Decide(c.s)
+			g.Expect(share).To(BeNumerically("~", c.share, 1e-9), why)
+			g.Expect(state).To(Equal(c.state), why)
+		})
+	}
+}
+
+// TestGate shows that an instance keeps its exposure without others, also when it hears nothing, and that a stale share raises nothing.
+func TestGate(t *testing.T) {
+	g := NewWithT(t)
+	gate := NewGate(epoch, &Order{Target: "v2", State: Running}, 0.1, 2, 2500*time.Millisecond)
+	send := func(now time.Time) (exposed int) {
+		requests, before := gate.Counts()
+		for i := range 2000 {
+			f := gate.Filter(now, core.RequestID(fmt.Sprint(requests, "-", i)))
+			v := core.SoftwareVersion("v1")
+			if f.Allows("v2") {
+				v = "v2"
+			}
+			gate.Count(v)
+		}
+		_, after := gate.Counts()
+		return after - before
+	}
+	g.Expect(send(epoch)).To(BeZero())
+	gate.Step, gate.Heard = Step{Number: 1, Share: 0.09}, epoch
+	g.Expect(send(epoch)).To(BeNumerically("~", 180, 50))
+	gate.Step = Later(gate.Step, Step{Number: 3, Share: 0.5})
+	gate.Step = Later(gate.Step, Step{Number: 2, Share: 1})
+	g.Expect(send(epoch)).To(BeNumerically("~", 1000, 150))
+	g.Expect(send(epoch.Add(2 * time.Second))).To(BeNumerically("~", 180, 50))
+	g.Expect(send(epoch.Add(3 * time.Second))).To(BeZero())
+	gate.Heard = epoch.Add(3 * time.Second)
+	gate.Step = Later(Step{Number: 4, Share: 1}, Step{Number: 2, Bad: true})
+	g.Expect(send(epoch.Add(3 * time.Second))).To(BeZero())
+	gate.SetState(epoch, Complete)
+	g.Expect(gate.Filter(epoch, "r").Allows("v1")).To(BeFalse())
+	g.Expect(gate.Filter(epoch.Add(time.Minute), "r").Allows("v1")).To(BeTrue())
+}
+
+// TestOwnBound shows that an instance with few requests keeps the exposure whatever the hash of their ids.
+func TestOwnBound(t *testing.T) {
+	g := NewWithT(t)
+	gate := NewGate(epoch, &Order{Target: "v2", State: Running}, 0.1, 1, time.Second)
+	gate.Step, gate.Heard = Step{Number: 1, Share: 0.09}, epoch
+	for i := range 200 {
+		v := core.SoftwareVersion("v1")
+		if gate.Filter(epoch, core.RequestID(fmt.Sprint(i))).Allows("v2") {
+			v = "v2"
+		}
+		gate.Count(v)
+		requests, exposed := gate.Counts()
+		g.Expect(float64(exposed)).To(BeNumerically("<=", 0.1*float64(requests)+1))
+	}
+}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,8 +22,10 @@
 
 const (
 	// orderInterval is how often orders are decided on, and orderRetryDelay the time after a failed write of a state.
-	orderInterval   = 50 * time.Millisecond
+	orderInterval   = 100 * time.Millisecond
 	orderRetryDelay = 300 * time.Millisecond
+	// evidenceInterval is the time between two messages that state what was seen.
+	evidenceInterval = 200 * time.Millisecond
 	// millionths is the scale of shares in messages.
 	millionths = 1e6
 	// maxOrderAge bounds the age of an order, and of news of it, in messages.
@@ -47,9 +50,10 @@
 	peers      map[source]rollout.Evidence
 	centres    map[core.DataCentre]rollout.Evidence
 
-	stopped bool // the evidence of this instance is against the target
-	retryAt time.Time
-	written chan error // result of a write in progress; nil if there is none
+	stopped        bool      // the evidence of this instance is against the target
+	stated, summed time.Time // when what was seen was last stated, by this instance and for its data centre
+	retryAt        time.Time
+	written        chan error // result of a write in progress; nil if there is none
 }
 
 // source is an instance since a start, or a data centre as a whole.
@@ -176,8 +180,11 @@
 			r, _ = o.pool.Rollout(now)
 		}
 		total := g.evidence(o, r.Evidence, false)
-		verdict := o.fleet.Judge(now, total)
-		if v := o.own.Judge(now, r.Evidence); v.Bad && o.gate != nil && !o.stopped {
+		var verdict rollout.Verdict
+		if !o.State.Final() {
+			verdict = o.fleet.Judge(now, total)
+		}
+		if v := o.own.Judge(now, r.Evidence); v.Bad && o.gate != nil && !o.stopped && !o.State.Final() {
 			o.stopped = true
 			g.log.Info("version avoided here", "service", s, "target", o.Target, "verdict", v.String())
 			o.pool.UpdateRollout(now, func(gate *rollout.Gate) { gate.Stopped = true })
@@ -199,8 +206,9 @@
 		var share float64
 		share, state, o.why = o.Decide(rollout.Situation{
 			Age: now.Sub(o.seen), Exposure: g.o.Settings.Rollouts.Exposure, Verdict: verdict, Share: o.step.Share, ShareFor: now.Sub(o.shareSince),
-			TargetSlots: r.TargetSlots, OtherSlots: r.OtherSlots, OtherRunning: r.OtherRunning,
+			TargetSlots: r.TargetSlots, OtherSlots: r.OtherSlots, Others: r.Others, OtherRunning: r.OtherRunning,
 		})
+		share = math.Round(share*millionths) / millionths // as the others hear it
 		if o.step.Bad {
 			share, state, o.why = 0, rollout.Reverted, "decided before"
 		}
@@ -261,9 +269,18 @@
 		}
 		w := wire.Rollout{
 			Service: string(s), Order: strconv.FormatUint(o.ID, 16), Age: int(now.Sub(o.seen).Milliseconds()), Step: o.step.Number,
-			Share: int(o.step.Share * millionths), Since: int(now.Sub(o.heard).Milliseconds()), Bad: o.step.Bad,
+			Share: int(math.Round(o.step.Share * millionths)), Since: int(now.Sub(o.heard).Milliseconds()), Bad: o.step.Bad,
+		}
+		list = append(list, w)
+		last := &o.stated
+		if centre {
+			last = &o.summed
 		}
-		var seen rollout.Evidence
+		if now.Sub(*last) < evidenceInterval {
+			continue
+		}
+		*last = now
+		seen := rollout.Evidence{}
 		if o.pool != nil {
 			r, _ := o.pool.Rollout(now)
 			seen = r.Evidence
@@ -272,9 +289,8 @@
 			seen = g.evidence(o, seen, true)
 		}
 		for _, name := range slices.Sorted(maps.Keys(seen)) {
-			w.Routes = append(w.Routes, wire.Seen{Route: name, Target: encodeCounts(seen[name].Target), Others: encodeCounts(seen[name].Others)})
+			list[len(list)-1].Routes = append(list[len(list)-1].Routes, wire.Seen{Route: name, Target: encodeCounts(seen[name].Target), Others: encodeCounts(seen[name].Others)})
 		}
-		list = append(list, w)
 	}
 	return list
 }
@@ -296,9 +312,11 @@
 		if at := now.Add(-min(milliseconds(w.Age), maxOrderAge)); at.Before(o.seen) {
 			o.seen = at
 		}
-		if from.instance != "" {
+		switch {
+		case len(seen) == 0: // not stated each time
+		case from.instance != "":
 			o.peers[from] = seen
-		} else {
+		default:
 			o.centres[from.centre] = seen
 		}
 		stated := rollout.Step{Number: w.Step, Share: float64(w.Share) / millionths, Bad: w.Bad}
@@ -363,7 +381,7 @@
 	responses, bad := total.Target()
 	d := wire.Order{
 		Service: string(s), Target: string(o.Target), State: o.State.String(), Age: int(now.Sub(o.seen).Milliseconds()), Duration: int(o.Duration.Milliseconds()),
-		Share: int(o.step.Share * millionths), Requests: r.Requests, Exposed: r.Exposed, Responses: responses, Bad: bad, Verdict: verdict.String(),
+		Share: int(math.Round(o.step.Share * millionths)), Requests: r.Requests, Exposed: r.Exposed, Responses: responses, Bad: bad, Verdict: verdict.String(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(total)) {
 		responses, bad := rollout.Evidence{name: total[name]}.Target()
