--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -86,6 +86,7 @@
 	}
 	p.updateLimits(now)
 	p.unreportedRequests = -1
+	p.selectActive(now)
 	p.keeping = slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil })
 	p.admission.drain = p.drainRate(now)
 	recent := now.Sub(p.lastAsks) < askInterval
@@ -158,13 +159,14 @@
 	if !now.Before(t.req.Deadline) {
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
+	t.filter = p.filter(now, &t.req)
 	candidateSlots := 0 // free slots of the candidates
 	listed := false
-	exclude, outdated, avoidPauses := p.excluded(&t.req), p.reportsOutdated(), p.readsWithoutPause(now, t)
-	trusted := t.spare || p.anyAvailable(now, exclude, &t.req)
+	exclude, outdated, avoidPauses := p.excluded(t), p.reportsOutdated(), p.readsWithoutPause(now, t)
+	trusted := t.spare || p.anyAvailable(now, exclude, t)
 	candidates := p.candidates[:0]
 	for _, e := range p.orderedEndpoints {
-		if slices.Contains(exclude, e.ID) || !t.req.allows(e.ID) {
+		if slices.Contains(exclude, e.ID) || !t.allows(e) {
 			continue
 		}
 		if !e.leaving() {
@@ -189,6 +191,7 @@
 		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
+	candidates = t.preferTarget(candidates)
 	if p.unreportedRequests < 0 {
 		p.unreportedRequests = p.unreported(now)
 	}
@@ -210,9 +213,9 @@
 // anyAvailable reports whether one of the endpoints that a request may be sent to is available. Without one, those that are
 // only suspected are used, and the others are probed sooner: a suspension is a reason to choose another endpoint, not to refuse
 // requests.
-func (p *Pool) anyAvailable(now time.Time, exclude []core.EndpointID, req *Request) bool {
+func (p *Pool) anyAvailable(now time.Time, exclude []core.EndpointID, t *Ticket) bool {
 	return slices.ContainsFunc(p.orderedEndpoints, func(e *endpointState) bool {
-		return e.available(now) && !slices.Contains(exclude, e.ID) && req.allows(e.ID)
+		return e.available(now) && !slices.Contains(exclude, e.ID) && t.allows(e)
 	})
 }
 
@@ -270,7 +273,7 @@
 		return false
 	}
 	for _, e := range p.orderedEndpoints {
-		if e.available(now) && !p.interrupts(now, e, &t.req) {
+		if e.available(now) && t.allows(e) && !p.interrupts(now, e, &t.req) {
 			return true
 		}
 	}
@@ -283,12 +286,13 @@
 }
 
 // excluded returns the endpoints to skip for a request: those that were tried, unless no other is left.
-func (p *Pool) excluded(req *Request) []core.EndpointID {
+func (p *Pool) excluded(t *Ticket) []core.EndpointID {
+	req := &t.req
 	if len(req.Only) > 0 {
 		return nil
 	}
 	for _, e := range p.orderedEndpoints {
-		if !e.leaving() && !slices.Contains(req.Exclude, e.ID) {
+		if !e.leaving() && t.allows(e) && !slices.Contains(req.Exclude, e.ID) {
 			return req.Exclude
 		}
 	}
@@ -324,6 +328,7 @@
 	if e.consecutiveSuspensions > 0 {
 		g.probe, e.probing = true, true
 	}
+	p.countGrant(e)
 	if t.ask != nil && !t.ask.Own {
 		p.lend(t.ask, g)
 		return g
--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -108,7 +108,8 @@
 // asks would be redirected.
 const minGroup = 4
 
-// Groups returns the number of groups of at most width endpoints in the data centre of this instance, or 0 if it has fewer than minGroup.
+// Groups returns the number of groups of at most width endpoints in the data centre of this instance. It is 0 if there are fewer than minGroup,
+// or if an order to move to another version tells which of them requests may go to: each instance draws and counts its own requests then.
 func (p *Pool) Groups(width int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,7 +119,7 @@
 			n++
 		}
 	}
-	if n < minGroup {
+	if n < minGroup || p.restricts() {
 		return 0
 	}
 	return (n + width - 1) / width
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -46,7 +46,11 @@
 			return b.Precedes(&a) || removed && a.Incarnation != 0 && a.Incarnation == b.Incarnation && a.Sequence == b.Sequence
 		}}
 	}
-	return mirror.Options{RestoredGrace: endpointGrace}
+	o := mirror.Options{RestoredGrace: endpointGrace}
+	if c == Rollouts {
+		o.Grace = endpointGrace
+	}
+	return o
 }
 
 // beginEra records that the mirror of a collection has followed the store into a new era.
