--- a/core/pool/admission_test.go
+++ b/core/pool/admission_test.go
@@ -276,7 +276,9 @@
 		p.Release(now, granted, pool.Served)
 	}
 	p.ApplyReport(now, "peer", true, pool.Report{Waiting: []int{10}})
-	waiting := p.Submit(now, request(1, now))
+	req := request(1, now)
+	req.Deadline = now.Add(500 * time.Millisecond) // too soon for a late request that has to wait for its turn
+	waiting := p.Submit(now, req)
 	g.Expect(decision(waiting)).To(BeNil())
 	p.ApplyReport(now, "peer", true, pool.Report{})
 	p.Tick(now)
