--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -213,6 +213,8 @@
 		return pool.Moved, "endpoint moved", true
 	case a.info.NotRun && a.info.Notice.Wait > 0:
 		return pool.Deferred, "endpoint rejected the request", true
+	case a.info.NotRun && a.mayBeTooLarge(): // which says nothing about the endpoint
+		return pool.Cancelled, "endpoint rejected the request", true
 	case a.info.NotRun && a.revisit: // which may be due to the request, and says no more than before
 		return pool.Cancelled, "endpoint rejected the request", true
 	case a.info.NotRun:
@@ -221,6 +223,13 @@
 	return 0, "", false
 }
 
+// mayBeTooLarge reports whether an endpoint that states free slots has rejected a request that is much larger than others. The memory of
+// the endpoint may be smaller.
+func (a *attempt) mayBeTooLarge() bool {
+	l := a.info.Load
+	return a.info.NotRun && l.Slots > 0 && l.Waiting == 0 && l.Running < l.Slots && a.x.pool.UnusuallyLarge(a.grant)
+}
+
 // notRunProof returns what shows that the endpoint did not run the request; empty if it may have run.
 func (a *attempt) notRunProof() string {
 	switch _, _, notRun := a.outcomeIfNotRun(); {
@@ -321,6 +330,12 @@
 	}
 }
 
+// countTooLarge counts a rejection of the request for its size, and returns their number.
+func (x *exchange) countTooLarge() int {
+	x.tooLarge++
+	return x.tooLarge
+}
+
 // handleNotRun decides whether a request that an endpoint did not run is sent to another one.
 func (a *attempt) handleNotRun(reason string) (result, bool) {
 	x := a.x
@@ -344,6 +359,8 @@
 		return x.failOrRefuse(reason, shortRetryAfter), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.failOrRefuse("deadline", shortRetryAfter), false
+	case a.mayBeTooLarge() && x.countTooLarge() >= maxTooLarge && !x.headerWritten:
+		return x.failOrRefuse("larger than the memory of the endpoints", tooLargeRetryAfter), false
 	case x.possibleRuns >= x.route.Attempts && !a.canReturn():
 		return x.failOrRefuse(reason+", attempts exhausted", rejectedRetryAfter), false
 	case x.sends > 0 && !x.takeRetry():
@@ -391,6 +408,10 @@
 	// rejectedRetryAfter is the Retry-After of a request that no endpoint accepted. Endpoints that reject requests by
 	// mistake are suspended within that time.
 	rejectedRetryAfter = 300 * time.Millisecond
+	// maxTooLarge is the number of endpoints with free slots after which a request that they rejected is sent to no other one.
+	// tooLargeRetryAfter is its Retry-After: it may succeed only if endpoints with more memory are added.
+	maxTooLarge        = 2
+	tooLargeRetryAfter = 30 * time.Second
 	// maxTriedEndpoints is the number of tried endpoints above which a request is not sent to another one after an
 	// endpoint did not run it, or, if its response has begun, only after a pause.
 	maxTriedEndpoints = 4
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -206,6 +206,7 @@
 	objective         time.Time     // counted from the caller's first attempt
 	waited            time.Duration // how long the caller has waited before this attempt
 
+	tooLarge        int               // number of endpoints with free slots that rejected it
 	sends           int               // number of times the request was sent to an endpoint
 	possibleRuns    int               // number of endpoints that may have run it
 	tried           []core.EndpointID // endpoints to avoid in further attempts
