--- a/core/pool/assign_bench_test.go
+++ b/core/pool/assign_bench_test.go
@@ -47,4 +47,24 @@
 			p.Tick(now)
 		}
 	})
+	b.Run("keeper", func(b *testing.B) { // one place is freed and one ask arrives while 100 wait
+		p := newKeeperPool(endpoints(60, 10))
+		number, at := uint64(0), now
+		lend := func() {
+			number++
+			p.Lend(at, ask("h", number), request())
+		}
+		var held []pool.DecidedAsk
+		for p.Waiting() < 100 {
+			lend()
+			held = append(held, p.TakeDecided()...)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			at = at.Add(1500 * time.Microsecond)
+			p.LentFreed(at, held[0].Origin, held[0].ID, true)
+			lend()
+			held = append(held[1:], p.TakeDecided()...)
+		}
+	})
 }
--- a/core/pool/lent_test.go
+++ b/core/pool/lent_test.go
@@ -333,3 +333,117 @@
 		})
 	}
 }
+
+// noPlaces ignores what becomes of places.
+type noPlaces struct{}
+
+func (noPlaces) PlaceBegan(pool.PlaceID)       {}
+func (noPlaces) PlaceFreed(pool.PlaceID, bool) {}
+func (noPlaces) AskDecided()                   {}
+
+func newKeeperPool(list []pool.Endpoint) *pool.Pool {
+	p := pool.New(pool.Options{Centre: "a", Keeper: 1, Places: noPlaces{}})
+	p.SetEndpoints(begin, list)
+	return p
+}
+
+func ask(holder core.InstanceID, n uint64) pool.Ask {
+	return pool.Ask{ID: pool.AskID{Holder: holder, Number: n}, Origin: holder}
+}
+
+// Guards against an urgent ask that waits behind less urgent ones of any holder, and against places that are granted twice.
+func TestOrderOfAsks(t *testing.T) {
+	g := NewWithT(t)
+	p := newKeeperPool(endpoints(1, 1))
+	p.Lend(begin, ask("first", 1), request(1, begin))
+	held := p.TakeDecided()
+	g.Expect(held).To(HaveLen(1))
+	for i, tier := range []core.Tier{3, 1, 2, 0} {
+		p.Lend(begin, ask(core.InstanceID(fmt.Sprint("h", tier)), uint64(i)), request(tier, begin))
+	}
+	g.Expect(p.TakeDecided()).To(BeEmpty(), "no place is free")
+	for tier := range 4 {
+		now := begin.Add(time.Duration(tier+1) * 10 * time.Millisecond)
+		p.LentFreed(now, held[0].Origin, held[0].ID, true)
+		p.LentFreed(now, held[0].Origin, held[0].ID, true) // the message is repeated
+		held = p.TakeDecided()
+		g.Expect(held).To(HaveLen(1))
+		g.Expect(held[0].ID.Holder).To(Equal(core.InstanceID(fmt.Sprint("h", tier))))
+		g.Expect(p.Lent()).To(Equal(1))
+	}
+}
+
+// A keeper takes over while requests run. Guards against counting the requests under its own grants twice, and against leaving out
+// those under the grants of another.
+func TestReportsOfKeptRequests(t *testing.T) {
+	g := NewWithT(t)
+	list := endpoints(1, 10)
+	p := newKeeperPool(list)
+	for n := range uint64(2) {
+		p.Lend(begin, ask("h", n+1), request(1, begin))
+	}
+	for _, c := range []struct {
+		load pool.Load
+		free int
+	}{
+		{pool.Load{Running: 2, Kept: 2, Keeper: 1}, 8},
+		{pool.Load{Running: 5, Kept: 2, Keeper: 1}, 5},
+		{pool.Load{Running: 5, Kept: 5, Keeper: 1}, 5}, // more than it has lent: it counted them as lost
+		{pool.Load{Running: 2, Kept: 2, Keeper: 2}, 6}, // of another keeper
+	} {
+		c.load.Endpoint = list[0].ID
+		p.ApplyReport(begin, "h", true, pool.Report{Loads: []pool.Load{c.load}})
+		free, _ := p.Free(begin)
+		g.Expect(free).To(Equal(c.free), "%+v", c.load)
+	}
+	later := begin.Add(200 * time.Millisecond)
+	for i, lent := range []int{2, 1, 0} {
+		p.ApplyReport(later, "h", true, pool.Report{})
+		g.Expect(p.Lent()).To(Equal(lent), "report %d without them", i+1)
+	}
+}
+
+// Guards against a grant of a keeper that overrides what the holder knows of the endpoint.
+func TestAdopt(t *testing.T) {
+	g := NewWithT(t)
+	list := endpoints(3, 4)
+	list[1].Leaving = true
+	p := newKeeperPool(list[:2])
+	for _, c := range []struct {
+		endpoint core.EndpointID
+		want     pool.Adoption
+	}{{list[0].ID, pool.Adopted}, {list[1].ID, pool.Unfit}, {list[2].ID, pool.Unfit}} {
+		ticket := p.Open(request(1, begin))
+		k := pool.KeptGrant{Place: pool.PlaceID{Keeper: 2, Number: 1}, Endpoint: c.endpoint}
+		g.Expect(p.Adopt(begin, ticket, k)).To(Equal(c.want), string(c.endpoint))
+		if c.want == pool.Adopted {
+			g.Expect(p.Adopt(begin, ticket, k)).To(Equal(pool.Late), "twice")
+			granted := grant(g, ticket)
+			p.Release(begin, granted, pool.Unreachable) // which suspends it
+			g.Expect(p.Adopt(begin, p.Open(request(1, begin)), k)).To(Equal(pool.Unfit), "suspended by proof")
+		}
+	}
+}
+
+// Guards against asks that wait although another data centre has room, and against sending it more than it has stated.
+func TestRedirect(t *testing.T) {
+	g := NewWithT(t)
+	list := endpoints(3, 1)
+	list[1].Centre, list[2].Centre = "b", "c"
+	p := newKeeperPool(list)
+	p.SetRoom(begin, "b", 2)
+	p.SetRoom(begin, "c", 0)
+	var got []string
+	for n := range uint64(3) {
+		p.Lend(begin.Add(time.Duration(n)*10*time.Millisecond), ask("h", n), request(1, begin))
+	}
+	for _, d := range p.TakeDecided() {
+		got = append(got, fmt.Sprintf("%T", d.Decision))
+	}
+	g.Expect(got).To(Equal([]string{"*pool.Grant", "pool.Redirect"}), "half of the room of b is for the keeper of c")
+	p.Lend(begin.Add(40*time.Millisecond), pool.Ask{ID: pool.AskID{Holder: "h", Number: 9}, Origin: "h", Final: true}, request(0, begin))
+	p.SetRoom(begin.Add(50*time.Millisecond), "b", 2)
+	d := p.TakeDecided()
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].ID.Number).To(BeEquivalentTo(2), "one that was redirected already stays")
+}
