--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -176,11 +176,14 @@
 	}
 }
 
-// begin no longer counts the prompt of a lent place as not read.
+// begin no longer counts the prompt of a lent place as not read, and lets the next request probe the endpoint.
 func (l *lentPlace) begin() {
 	if !l.began {
 		l.began = true
 		l.endpoint.lentPrompt -= l.prompt
+		if l.probe {
+			l.endpoint.probing = false
+		}
 	}
 }
 
@@ -209,9 +212,6 @@
 	l.begin()
 	l.endpoint.lent--
 	p.forgetGone(l.endpoint)
-	if l.probe {
-		l.endpoint.probing = false
-	}
 	delete(o.places, id)
 	if len(o.places) == 0 {
 		delete(p.lent, origin)
--- a/core/pool/lent_test.go
+++ b/core/pool/lent_test.go
@@ -447,3 +447,22 @@
 	g.Expect(d).To(HaveLen(1))
 	g.Expect(d[0].ID.Number).To(BeEquivalentTo(2), "one that was redirected already stays")
 }
+
+// A few engines return while requests wait everywhere, and the instances have keepers. Guards against more requests that wait at an
+// engine than it has slots, as in TestQueueAtReturningEngines.
+func TestQueueAtReturningEnginesWithKeepers(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := fleetCluster()
+	f.absentEngines, f.absentUntil, f.keeperDown = 5, 2*time.Second, neverDown
+	s := run(11, f, 4*time.Second,
+		workload{"draft", 0, 6600, 50, 400 * time.Millisecond, constant(360)},
+		workload{"dedication", 1, 628, 40, 200 * time.Millisecond, constant(290)},
+		workload{"check", 2, 1800, 3, 250 * time.Millisecond, constant(780)},
+	)
+	for name, k := range s.results {
+		t.Logf("%s %+v", name, *k)
+	}
+	t.Logf("waited at engines %d of %d, longest queue %d", s.waited, s.sent, s.longestQueue)
+	g.Expect(s.longestQueue).To(BeNumerically("<=", f.slots))
+}
