--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,6 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.places.mesh.Store(g.mesh)
 	if err := g.listen(s); err != nil {
 		g.mesh.Close()
 		return nil, err
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 	"monsoondale/core/places"
 	"monsoondale/core/pool"
 	"monsoondale/core/route"
+	"monsoondale/io/mesh"
 	wire "monsoondale/wire/mesh"
 )
 
@@ -93,6 +95,8 @@
 	id   pool.KeeperID
 	self core.InstanceID
 
+	// mesh is nil until the sockets are open; messages that arrive before it is set are lost.
+	mesh atomic.Pointer[mesh.Mesh]
 	// wake is signalled when a pool has decided asks, and changed when a message is due.
 	wake, changed chan struct{}
 
@@ -447,7 +451,7 @@
 
 // receive applies a message of another instance.
 func (k *keptPlaces) receive(now time.Time, m *wire.Places) {
-	if k.mode == PlacesOff || core.InstanceID(m.From) == k.self {
+	if k.mode == PlacesOff || core.InstanceID(m.From) == k.self || k.mesh.Load() == nil {
 		return
 	}
 	pools := k.g.config.Load().Pools
@@ -700,7 +704,7 @@
 	}
 	k.mu.Unlock()
 	for _, d := range due {
-		n, err := k.g.mesh.SendPlaces(d.m, d.to)
+		n, err := k.mesh.Load().SendPlaces(d.m, d.to)
 		if err != nil {
 			k.count("unsent")
 			continue
