--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -302,13 +302,14 @@
 	}
 }
 
-// Room returns the number of free places in the data centre of this instance, less the requests that wait for one.
-func (p *Pool) Room(now time.Time) int {
+// Room returns the number of free places of a group in the data centre of this instance, less the requests that wait here for one.
+func (p *Pool) Room(now time.Time, group, groups int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	a := Ask{Group: group, Groups: groups}
 	n := -len(p.queue)
 	for _, e := range p.orderedEndpoints {
-		if e.Centre == p.o.Centre && e.available(now) {
+		if e.Centre == p.o.Centre && a.covers(e) && e.available(now) {
 			n += max(e.freeSlots(), 0)
 		}
 	}
--- a/core/pool/lent_test.go
+++ b/core/pool/lent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -16,11 +17,13 @@
 	asks map[pool.AskID]*simulatedAsk
 	next uint64
 	held map[pool.PlaceID]bool
+	sent map[int]int // messages by sender
 }
 
 // simulatedAsk is an ask that has no decision yet.
 type simulatedAsk struct {
 	holder, keeper int
+	group          int
 	ticket         *pool.Ticket
 	lent           *pool.Ticket // at the keeper
 	req            pool.Request
@@ -40,14 +43,14 @@
 }
 
 func (o simulatedObserver) PlaceBegan(id pool.PlaceID) {
-	o.s.toKeeper(id, func(k *pool.Pool) {
+	o.s.toKeeper(o.holder, id, func(k *pool.Pool) {
 		k.LentBegan(o.s.origin(o.holder, int(id.Keeper-1)), o.s.askID(o.holder, id.Number))
 	})
 }
 
 func (o simulatedObserver) PlaceFreed(id pool.PlaceID, served bool) {
 	delete(o.s.keepers.held, id)
-	o.s.toKeeper(id, func(k *pool.Pool) {
+	o.s.toKeeper(o.holder, id, func(k *pool.Pool) {
 		k.LentFreed(o.s.now, o.s.origin(o.holder, int(id.Keeper-1)), o.s.askID(o.holder, id.Number), served)
 		o.s.answer(int(id.Keeper - 1))
 	})
@@ -71,7 +74,7 @@
 	o := pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977, Limits: s.limits}
 	if s.keeperDown != nil {
 		if s.keepers == nil {
-			s.keepers = &keepers{asks: map[pool.AskID]*simulatedAsk{}, held: map[pool.PlaceID]bool{}}
+			s.keepers = &keepers{asks: map[pool.AskID]*simulatedAsk{}, held: map[pool.PlaceID]bool{}, sent: map[int]int{}}
 		}
 		o.Keeper, o.Places = pool.KeeperID(i+1), simulatedObserver{s, i}
 	}
@@ -89,7 +92,10 @@
 }
 
 // keeperOf returns the instance that others take for the keeper of a data centre.
-func (s *simulation) keeperOf(centre int) int {
+func (s *simulation) keeperOf(centre, group int) int {
+	if group > 0 {
+		return centre + (group+1)*s.centres
+	}
 	if s.down(centre, s.now) && s.down(centre, s.now.Add(-keeperSilence)) {
 		return centre + s.centres
 	}
@@ -97,7 +103,11 @@
 }
 
 // deliver delivers a message.
-func (s *simulation) deliver(do func()) {
+func (s *simulation) deliver(from int, do func()) {
+	if s.down(from, s.now) {
+		return
+	}
+	s.keepers.sent[from]++
 	n := 1
 	if s.lossy {
 		switch s.rng.IntN(20) {
@@ -113,8 +123,8 @@
 }
 
 // toKeeper delivers a message to the keeper that has granted a place.
-func (s *simulation) toKeeper(id pool.PlaceID, do func(k *pool.Pool)) {
-	s.deliver(func() {
+func (s *simulation) toKeeper(holder int, id pool.PlaceID, do func(k *pool.Pool)) {
+	s.deliver(holder, func() {
 		if i := int(id.Keeper - 1); !s.down(i, s.now) {
 			do(s.pools[i])
 		}
@@ -126,7 +136,8 @@
 	if s.keepers == nil {
 		return s.pools[i].Submit(s.now, req)
 	}
-	a := &simulatedAsk{holder: i, keeper: s.keeperOf(i % s.centres), ticket: s.pools[i].Open(req), req: req}
+	group := s.rng.IntN(max(s.groups, 1))
+	a := &simulatedAsk{holder: i, group: group, keeper: s.keeperOf(i%s.centres, group), ticket: s.pools[i].Open(req), req: req}
 	s.ask(a, false)
 	return a.ticket
 }
@@ -137,12 +148,12 @@
 	id := s.askID(a.holder, s.keepers.next)
 	s.keepers.asks[id] = a
 	k := a.keeper
-	s.deliver(func() {
+	s.deliver(a.holder, func() {
 		if s.down(k, s.now) || a.received {
 			return
 		}
 		a.received = true
-		a.lent = s.pools[k].Lend(s.now, pool.Ask{ID: id, Origin: s.origin(a.holder, k), Own: a.holder == k, Final: final}, a.req)
+		a.lent = s.pools[k].Lend(s.now, pool.Ask{ID: id, Origin: s.origin(a.holder, k), Own: a.holder == k, Final: final, Group: a.group, Groups: s.groups}, a.req)
 		s.answer(k)
 	})
 	s.after(askTimeout, func() { s.checkAsk(id, a) })
@@ -170,12 +181,12 @@
 	}
 	for _, d := range s.pools[k].TakeDecided() {
 		if a := s.keepers.asks[d.ID]; a != nil {
-			a.answered = s.now
+			a.answered = s.now // signs of the keeper end
 		}
 		if d.Own {
 			s.receive(k, d)
 		} else {
-			s.deliver(func() { s.receive(k, d) })
+			s.deliver(k, func() { s.receive(k, d) })
 		}
 	}
 }
@@ -185,7 +196,7 @@
 	a := s.keepers.asks[d.ID]
 	delete(s.keepers.asks, d.ID)
 	handBack := func() {
-		s.deliver(func() {
+		s.deliver(holderOf(d.ID), func() {
 			if !s.down(k, s.now) {
 				s.pools[k].LentFreed(s.now, d.Origin, d.ID, false)
 				s.answer(k)
@@ -215,7 +226,7 @@
 		r, redirected := d.Decision.(pool.Redirect)
 		switch {
 		case redirected && r.Centre != "":
-			s.ask(&simulatedAsk{holder: a.holder, keeper: s.keeperOf(int(r.Centre[0] - 'a')), ticket: a.ticket, req: a.req}, true)
+			s.ask(&simulatedAsk{holder: a.holder, group: a.group, keeper: s.keeperOf(int(r.Centre[0]-'a'), a.group), ticket: a.ticket, req: a.req}, true)
 		case redirected:
 			s.pools[a.holder].Enqueue(s.now, a.ticket, "test")
 		default:
@@ -224,17 +235,25 @@
 	}
 }
 
+// holderOf returns the index of the holder of an ask.
+func holderOf(id pool.AskID) int {
+	i, _ := strconv.Atoi(string(id.Holder))
+	return i
+}
+
 // exchangeRooms tells the keepers of the free places elsewhere, every 100 ms.
 func (s *simulation) exchangeRooms(end time.Time) {
-	for c := range s.centres {
-		k := s.keeperOf(c)
+	for i := range s.centres * max(s.groups, 1) {
+		c, group := i%s.centres, i/s.centres
+		k := s.keeperOf(c, group)
 		if s.down(k, s.now) {
 			continue
 		}
-		free := s.pools[k].Room(s.now)
+		free := s.pools[k].Room(s.now, group, s.groups)
 		for other := range s.centres {
 			if other != c {
-				s.after(s.messageDelay(), func() { s.pools[s.keeperOf(other)].SetRoom(s.now, s.centre(c), free) })
+				s.keepers.sent[k]++
+				s.after(s.messageDelay(), func() { s.pools[s.keeperOf(other, group)].SetRoom(s.now, s.centre(c), free) })
 			}
 		}
 	}
@@ -466,3 +485,36 @@
 	t.Logf("waited at engines %d of %d, longest queue %d", s.waited, s.sent, s.longestQueue)
 	g.Expect(s.longestQueue).To(BeNumerically("<=", f.slots))
 }
+
+// Guards against messages of an instance that grow with the fleet, and against requests that wait at engines in large ones.
+func TestKeepersByFleetSize(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ instances, engines, centres, groups int }{{24, 18, 3, 1}, {78, 60, 3, 1}, {300, 240, 5, 1}, {300, 240, 3, 2}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := gridCluster()
+			f.instances, f.engines, f.centres, f.groups, f.keeperDown = c.instances, c.engines, c.centres, c.groups, neverDown
+			f.reportInterval = max(40*time.Millisecond, time.Duration(c.instances/c.centres)*time.Second/150)
+			load := gridLoad()
+			for i := range load {
+				load[i].rate = constant(load[i].rate(0) * float64(c.engines) / 60)
+			}
+			const span = 1500 * time.Millisecond
+			s := run(14, f, span, load...)
+			holders, keepers, instances := 0, 0, 0
+			for i := range s.pools {
+				if i < s.centres || i >= 2*s.centres && i < (c.groups+1)*s.centres {
+					keepers = max(keepers, s.keepers.sent[i])
+				} else {
+					holders, instances = holders+s.keepers.sent[i], instances+1
+				}
+			}
+			perHolder := float64(holders) / float64(instances) / span.Seconds()
+			t.Logf("waited %d of %d; messages a second: %.0f of an instance, %.0f of a keeper", s.waited, s.sent, perHolder, float64(keepers)/span.Seconds())
+			g.Expect(ratio(s.waited, s.sent)).To(BeNumerically("<", 0.05))
+			// An ask, the first event and the end of each of the 12.5 requests a second of an instance, and some asks elsewhere.
+			g.Expect(perHolder).To(BeNumerically("<", 3.5*12.5))
+		})
+	}
+}
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -91,8 +91,14 @@
 	// keeperDown reports whether the first keeper of a data centre is down at time s, in seconds; nil if there are no keepers.
 	keeperDown func(centre int, s float64) bool
 	// lossy loses one in 20 messages about places, and repeats another one.
+<<<<<<< HEAD
 	lossy  bool
 	limits pool.Limits
+=======
+	lossy bool
+	// groups is the number of groups of the engines of a data centre; 0 means 1.
+	groups int
+>>>>>>> 32c09df (core/pool: messages of keepers by the size of the fleet, groups, and killed instances that get no requests, in simulated time (issue 51))
 }
 
 const (
@@ -185,6 +191,9 @@
 func (s *simulation) request(w workload) {
 	s.results[w.name].total++
 	i := s.rng.IntN(len(s.pools))
+	for s.down(i, s.now) { // callers go to another one
+		i = s.rng.IntN(len(s.pools))
+	}
 	p := s.pools[i]
 	req := pool.Request{
 		Tier: 1, Rank: w.rank, Prompt: w.prompt, MaxOutput: core.Tokens(simulatedEventTokens * max(1, int(float64(w.events)*s.rng.ExpFloat64()))),
@@ -327,7 +336,7 @@
 func (s *simulation) exchangeSums(end time.Time, c int) {
 	relay := c
 	if s.keepers != nil {
-		relay = s.keeperOf(c)
+		relay = s.keeperOf(c, 0)
 	}
 	r := s.pools[relay].CentreReport(s.now)
 	delay := reportDelay + time.Duration(s.rng.Int64N(int64(s.reportInterval)))
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -599,6 +599,7 @@
 		}
 	}
 	var kept []placesKey
+	groups := k.groups
 	if now.Sub(k.lastRooms) >= roomInterval && len(k.far) > 0 {
 		k.lastRooms = now
 		for key, c := range k.keepers {
@@ -616,7 +617,7 @@
 		if p == nil {
 			continue
 		}
-		r := wire.Room{Service: string(key.service), Group: key.group, Free: p.Room(now)}
+		r := wire.Room{Service: string(key.service), Group: key.group, Free: p.Room(now, key.group, groups[key.service])}
 		k.mu.Lock()
 		for _, far := range k.far {
 			if c, ok := far[key]; ok {
