--- a/core/pool/limit.go
+++ b/core/pool/limit.go
@@ -31,10 +31,11 @@
 	exploreTurn    = time.Second
 	exploreTurns   = 8
 	exploreShare   = 16
-	// suspectGrowth is the growth in comparison with all endpoints at lower loads from which on an endpoint is measured. What is known
-	// of these is forgotten with the time constant usualMemory.
-	suspectGrowth = 0.8
-	usualMemory   = 2 * time.Minute
+	// usualMemory is the time constant with which the time of requests at all endpoints of a service is forgotten.
+	usualMemory = 2 * time.Minute
+	// exploreUncertainty and maxMeasurements determine how many requests are measured then.
+	exploreUncertainty = 0.2
+	maxMeasurements    = 12
 	// exploreInterval is the least time between two such measurements of an endpoint.
 	exploreInterval = time.Minute
 	// maxReportShare is the part of the time of a request up to which the age of reports may be for limits to hold.
@@ -45,6 +46,10 @@
 	limitLogInterval = 5 * time.Second
 )
 
+// suspectGrowth is the growth of the time of a request, from that at all endpoints in each band up to half of the slots to that at a full
+// endpoint, from which on the full one is measured. The lowest band may hide a knee above it.
+var suspectGrowth = [loadBands / 2]float64{0.5, 0.8}
+
 // limitReason is why a limit is as it is.
 type limitReason string
 
@@ -77,14 +82,16 @@
 	loggedAt    time.Time
 }
 
-// measured reports whether the endpoint has been seen at half of its slots.
-func (l *limitState) measured(now time.Time) bool {
-	return l.bands[loadBands/2-1].weight(now, baselineMemory) >= minBandWeight
+// exploring reports whether the endpoint is being measured at half of its slots, until there are as many measurements as needed.
+func (l *limitState) exploring(now time.Time, needed float64) bool {
+	return now.Sub(l.exploredAt) < maxExploreTime && l.bands[loadBands/2-1].n < needed
 }
 
-// exploring reports whether the endpoint is being measured at half of its slots.
-func (l *limitState) exploring(now time.Time) bool {
-	return now.Sub(l.exploredAt) < maxExploreTime && !l.measured(now)
+// measurementsNeeded returns the number of measurements with which the logarithm of a time is known with an uncertainty of
+// exploreUncertainty.
+func (p *Pool) measurementsNeeded() float64 {
+	n := errorMargin * p.workDeviation() / exploreUncertainty
+	return min(max(n*n, minBandWeight), maxMeasurements)
 }
 
 // recordWork records how long a request of this instance took, for the others too. It runs while the request holds its slot.
@@ -152,8 +159,9 @@
 	p.limitsUpdated = now
 	span, known := p.reportSpan(), p.loadsKnown()
 	p.exploring = 0
+	needed := p.measurementsNeeded()
 	for _, e := range p.orderedEndpoints {
-		if e.limits.exploring(now) {
+		if e.limits.exploring(now, needed) {
 			p.exploring++
 		}
 	}
@@ -214,18 +222,19 @@
 	return slots
 }
 
-// explore reports whether an endpoint is to be measured at half of its slots: if it is nearly full, has not been seen at that load, and
+// explore reports whether an endpoint is to be measured at half of its slots: if it is nearly full, has rarely been seen at that load, and
 // takes so long that more requests at once may not raise its throughput. That lasts until a few requests have ended.
 func (p *Pool) explore(now time.Time, e *endpointState) bool {
 	l := &e.limits
-	if l.exploring(now) {
+	needed := p.measurementsNeeded()
+	if l.exploring(now, needed) {
 		return true
 	}
-	if l.measured(now) || now.Sub(l.exploredAt) < exploreInterval || !l.bands[loadBands-1].fresh(now) {
+	if l.bands[loadBands/2-1].weight(now, baselineMemory) >= needed || now.Sub(l.exploredAt) < exploreInterval || !l.bands[loadBands-1].fresh(now) {
 		return false
 	}
-	for i := range loadBands / 2 {
-		if usual := &p.work[i]; usual.weight(now, usualMemory) >= minBandWeight/2 && growth(usual, &l.bands[loadBands-1], 0) < suspectGrowth {
+	for i, suspect := range suspectGrowth {
+		if usual := &p.work[i]; usual.weight(now, usualMemory) >= needed/2 && growth(usual, &l.bands[loadBands-1], 0) < suspect {
 			return false
 		}
 	}
--- a/core/pool/limit_test.go
+++ b/core/pool/limit_test.go
@@ -50,13 +50,18 @@
 // outcome counts what became of the requests of a loop.
 type outcome struct {
 	total, served, ontime, refused, waited int
-	limits                                 [][]int // of each endpoint, four times a second
+	limits                                 [][]int // of each endpoint, four times a second, in the last run
 }
 
 func (o *outcome) String() string {
 	return fmt.Sprintf("total %d, served %.3f, on time %.3f, refused %.3f, waited at an endpoint %.3f", o.total, ratio(o.served, o.total), ratio(o.ontime, o.total), ratio(o.refused, o.total), ratio(o.waited, o.served))
 }
 
+func (o *outcome) add(p *outcome) {
+	o.total, o.served, o.ontime, o.refused, o.waited = o.total+p.total, o.served+p.served, o.ontime+p.ontime, o.refused+p.refused, o.waited+p.waited
+	o.limits = p.limits
+}
+
 // eventWork is the work between two events, in seconds.
 const eventWork = 0.03
 
@@ -261,9 +266,13 @@
 				g := NewWithT(t)
 				l := c.loop
 				l.instances, l.span, l.reportInterval = instances, cmp.Or(l.span, 30*time.Second), cmp.Or(l.reportInterval, 40*time.Millisecond)
-				fixed := l.run(1)
-				l.limits = pool.LearnedLimits
-				learned := l.run(1)
+				fixed, learned := &outcome{}, &outcome{}
+				for seed := range uint64(3) {
+					l.limits = pool.SlotLimits
+					fixed.add(l.run(seed + 1))
+					l.limits = pool.LearnedLimits
+					learned.add(l.run(seed + 1))
+				}
 				t.Logf("slots   %v\nlearned %v\nlimits of one: %v", fixed, learned, learned.limits[len(l.slots)-1])
 				g.Expect(float64(learned.ontime)).To(BeNumerically(">=", 0.95*float64(fixed.ontime)))
 				if c.knee > 0 && instances == 1 {
