--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -144,6 +145,7 @@
 	silent, longWork int           // weights of requests at which a sound endpoint is silent, and of those that take seconds
 	calm             bool          // callers pause between requests at times, and leave an instance that does not serve them
 	slowStart        bool          // streams take some time until their first event
+	sequence         atomic.Int64  // of the entries of endpoints
 	copies           *copies       // nil if endpoints send no refusal once more
 	dir              string
 	store            *fake.Store
@@ -304,7 +306,7 @@
 	service := w.services[n]
 	w.mu.Unlock()
 	entry := w.endpoints[n].Entry(service, state, w.slots)
-	entry["addr"] = w.links[n].address()
+	entry["addr"], entry["seq"] = w.links[n].address(), w.sequence.Add(1)
 	w.store.Put("servers", w.endpoints[n].CurrentID(), entry)
 }
 
