--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -91,14 +91,10 @@
 	// keeperDown reports whether the first keeper of a data centre is down at time s, in seconds; nil if there are no keepers.
 	keeperDown func(centre int, s float64) bool
 	// lossy loses one in 20 messages about places, and repeats another one.
-<<<<<<< HEAD
 	lossy  bool
 	limits pool.Limits
-=======
-	lossy bool
 	// groups is the number of groups of the engines of a data centre; 0 means 1.
 	groups int
->>>>>>> 32c09df (core/pool: messages of keepers by the size of the fleet, groups, and killed instances that get no requests, in simulated time (issue 51))
 }
 
 const (
