--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -40,7 +40,7 @@
 
 // gatewayCmd runs an instance on the users' platform.
 type gatewayCmd struct {
-	Limits   string `enum:"learned,slots" default:"learned" help:"How many requests an endpoint gets at once: as many as it is found to take well (learned), or as many as it states (slots)."`
+	Limits   string `enum:"learned,slots" default:"slots" help:"How many requests an endpoint gets at once: as many as it is found to take well (learned), or as many as it states (slots)."`
 	Settings string `type:"path" predictor:"file" help:"Settings file of the platform; default: the one that the platform names in the environment."`
 	Places   string `enum:"auto,off" default:"auto" help:"Whether one instance of each data centre grants the places of its endpoints to the others: auto (in fleets of more than 12 instances) or off."`
 }
