--- a/commands/commands.go
+++ b/commands/commands.go
@@ -46,6 +46,7 @@
 	Fleet    fleetCmd    `cmd:"" help:"Show the state of a fleet of gateways, as their logs tell it."`
 	Parts    partsCmd    `cmd:"" help:"List or release the parts of prompts that a fleet of gateways has quarantined."`
 	Explain  explainCmd  `cmd:"" help:"Print what the logs of instances tell of a request."`
+	Check    checkCmd    `cmd:"" help:"Check a configuration of the users' platform before it is sent, and show what it changes."`
 	Validate validateCmd `cmd:"" help:"Check settings, templates and workspaces without a server."`
 	Codes    codesCmd    `cmd:"" help:"Print the table of result codes."`
 	Demo     demoCmd     `cmd:"" help:"Run two small deployments in this process and check every count."`
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoondale/core"
+	"monsoondale/io/proxy"
 )
 
 // MetricsPort is the port of the metrics address. It is outside the ranges that the platform gives to instances.
@@ -34,3 +35,8 @@
 	// QuotaWindow is the span in which the usage of a workspace is counted.
 	QuotaWindow time.Duration
 }
+
+// RequestMemory returns the bytes that an instance has for the bodies of all requests together.
+func RequestMemory(s *Settings) int64 {
+	return int64(proxy.RequestShare * bodyShare * float64(s.MemoryLimit))
+}
--- a/io/proxy/memory.go
+++ b/io/proxy/memory.go
@@ -11,9 +11,9 @@
 const (
 	// minBodyBuffer is the initial size of the buffer for a body of unknown length.
 	minBodyBuffer = 2 << 10
-	// requestShare is the part of the limit up to which bodies of new requests are accepted. The rest is for responses to
+	// RequestShare is the part of the limit up to which bodies of new requests are accepted. The rest is for responses to
 	// requests that endpoints have run already.
-	requestShare = 0.75
+	RequestShare = 0.75
 	// memoryTimeout is how long the response of a request that has run waits for memory, while its endpoint waits for it to be read.
 	// It is bounded, as all responses may wait for the memory that the others hold.
 	memoryTimeout = time.Second
@@ -44,7 +44,7 @@
 func (x *exchange) reserve(n int) bool {
 	share := 1.0
 	if x.stage == stageArrival {
-		share = requestShare
+		share = RequestShare
 	}
 	if !x.handler.memory.reserve(n, share) {
 		return false
