--- a/commands/commands.go
+++ b/commands/commands.go
@@ -48,6 +48,7 @@
 	Parts     partsCmd     `cmd:"" help:"List or release the parts of prompts that a fleet of gateways has quarantined."`
 	Endpoints endpointsCmd `cmd:"" help:"List the endpoints that an instance knows, with their limits and loads."`
 	Explain   explainCmd   `cmd:"" help:"Print what the logs of instances tell of a request."`
+	Check     checkCmd     `cmd:"" help:"Check a configuration of the users' platform before it is sent, and show what it changes."`
 	Validate  validateCmd  `cmd:"" help:"Check settings, templates and workspaces without a server."`
 	Codes     codesCmd     `cmd:"" help:"Print the table of result codes."`
 	Demo      demoCmd      `cmd:"" help:"Run two small deployments in this process and check every count."`
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoondale/core"
+	"monsoondale/io/proxy"
 )
 
 // MetricsPort is the port of the metrics address. It is outside the ranges that the platform gives to instances.
@@ -47,3 +48,8 @@
 	// Rollback is the time within which all instances must have stopped sending requests to a version that is bad.
 	Rollback time.Duration
 }
+
+// RequestMemory returns the bytes that an instance has for the bodies of all requests together.
+func RequestMemory(s *Settings) int64 {
+	return int64(proxy.RequestShare * bodyShare * float64(s.MemoryLimit))
+}
