--- a/gateway/places.go
+++ b/gateway/places.go
@@ -72,6 +72,8 @@
 	req           pool.Request
 	group, groups int
 	tries         int
+	number        uint64 // of the ask
+	keeper        keeper // that was asked
 	since         time.Time
 }
 
@@ -103,7 +105,7 @@
 	// mu is taken while the locks of pools are held, so no method of a pool may be called under it.
 	mu       sync.Mutex
 	asker    *places.Asker[*heldAsk]
-	byTicket map[*pool.Ticket]uint64
+	byTicket map[*pool.Ticket]*heldAsk
 	pending  map[pool.AskID]*pendingAsk
 	groups   map[route.Service]int
 	keepers  map[placesKey]keeper
@@ -123,7 +125,7 @@
 		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		// Numbers differ from those of the processes before, whose places keepers may still count.
 		asker:    places.NewAsker[*heldAsk](uint64(g.start.UnixMilli()) << 20),
-		byTicket: map[*pool.Ticket]uint64{}, pending: map[pool.AskID]*pendingAsk{}, groups: map[route.Service]int{}, keepers: map[placesKey]keeper{},
+		byTicket: map[*pool.Ticket]*heldAsk{}, pending: map[pool.AskID]*pendingAsk{}, groups: map[route.Service]int{}, keepers: map[placesKey]keeper{},
 		far: map[core.DataCentre]map[placesKey]keeper{}, granters: map[pool.KeeperID]keeper{}, held: map[pool.PlaceID]bool{}, outbox: map[string]*outgoing{}, resolved: map[string]*net.UDPAddr{},
 	}
 	k.asker.OnDoubt = func(id core.InstanceID, doubted bool) {
@@ -283,7 +285,8 @@
 	}
 	k.mu.Lock()
 	number := k.asker.Begin(now, c.name, timeout, h)
-	k.byTicket[h.ticket] = number
+	h.number, h.keeper = number, c
+	k.byTicket[h.ticket] = h
 	k.mu.Unlock()
 	if c.name == k.self {
 		k.lend(now, h.pool, pool.Ask{ID: pool.AskID{Holder: k.self, Number: number}, Origin: k.self, Own: true, Final: final, Group: h.group, Groups: h.groups}, h.req, "")
@@ -297,33 +300,25 @@
 // Withdraw implements proxy.Places.
 func (k *keptPlaces) Withdraw(now time.Time, p *pool.Pool, t *pool.Ticket) *pool.Grant {
 	k.mu.Lock()
-	number, asked := k.byTicket[t]
-	if asked {
+	h := k.byTicket[t]
+	if h != nil {
 		delete(k.byTicket, t)
-		name, _ := k.asker.Withdraw(number)
-		if name == k.self {
-			k.mu.Unlock()
-			k.withdraw(now, pool.AskID{Holder: k.self, Number: number})
-			return p.Withdraw(now, t)
-		}
-		for _, c := range k.known() {
-			if c.name == name {
-				k.addLocked(now, c.address, freedDelay, func(m *wire.Places) { m.Withdrawn = append(m.Withdrawn, int(number)) })
-				break
-			}
-		}
+		k.asker.Withdraw(h.number)
+		k.tellWithdrawn(now, h)
 	}
 	k.mu.Unlock()
+	if h != nil && h.keeper.name == k.self {
+		k.withdraw(now, pool.AskID{Holder: k.self, Number: h.number})
+	}
 	return p.Withdraw(now, t)
 }
 
-// known returns the keepers of all data centres. The caller holds mu.
-func (k *keptPlaces) known() []keeper {
-	out := lo.Values(k.keepers)
-	for _, far := range k.far {
-		out = append(out, lo.Values(far)...)
+// tellWithdrawn tells the keeper that an ask is to be dropped. The caller holds mu.
+func (k *keptPlaces) tellWithdrawn(now time.Time, h *heldAsk) {
+	if h.keeper.name != k.self {
+		number := int(h.number)
+		k.addLocked(now, h.keeper.address, freedDelay, func(m *wire.Places) { m.Withdrawn = append(m.Withdrawn, number) })
 	}
-	return out
 }
 
 // lend queues an ask at the pool of this instance.
@@ -589,6 +584,7 @@
 	overdue := k.asker.Overdue(now)
 	for _, h := range overdue {
 		delete(k.byTicket, h.ticket)
+		k.tellWithdrawn(now, h) // so that no place is granted in vain
 	}
 	if now.Sub(k.lastSigns) >= places.SignInterval {
 		k.lastSigns = now
