core/rollout, core/pool: slowness counts from the sending and is tolerated more; a state read with a new order is that of the one before

Found by the tests under the race detector at a load of 30 to 46: good versions were reverted for slowness of 14 to 55%, against 2 to 15% of the others (new connections, suspicion from 9 responses), and a second order for the same target was taken for complete when the state of the first arrived with it.

--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -88,10 +88,11 @@
 }
 
 // Accepts reports whether the endpoint of a grant still accepts requests. Between the grant and the sending, its entry or a
-// response to another request may have changed that.
+// response to another request may have changed that. It is called when the connection is open.
 func (p *Pool) Accepts(now time.Time, g *Grant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	g.connected = now
 	return g.endpointState.accepts(now) && !p.barred(now, g.endpointState)
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -110,6 +110,7 @@
 	endpointState *endpointState
 	req           Request
 	sent          time.Time // when the grant was made
+	connected     time.Time // when the request was about to be sent; zero before
 	// promptBacklog is the number of prompt tokens that the endpoint processes before the first event, including those of
 	// this request.
 	promptBacklog core.Tokens
@@ -326,7 +327,7 @@
 	g.endpointState.pendingPrompt -= g.req.Prompt
 	g.endProbe()
 	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
-	p.recordBegin(now, g, s)
+	p.recordBegin(now, g)
 	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
 		p.samples = append(p.samples, s)
--- a/core/pool/rollout.go
+++ b/core/pool/rollout.go
@@ -11,8 +11,8 @@
 	// slowRatio is how many times longer than the model predicts from the prompts alone a slow first event takes. Versions that are
 	// several times slower exceed it, and sound endpoints seldom do.
 	slowRatio = 1.8
-	// minSlow is the delay up to which a first event does not count as slow, as scheduling alone may take it.
-	minSlow = 10 * time.Millisecond
+	// minSlow is how much later than predicted a slow first event is at least, as scheduling alone may take some milliseconds.
+	minSlow = 15 * time.Millisecond
 )
 
 // rolloutState is what an order requires of a pool, and what was seen of the versions since.
@@ -156,12 +156,12 @@
 }
 
 // recordBegin records a first event as evidence. Endpoints are slow after their start, whatever their version.
-func (p *Pool) recordBegin(now time.Time, g *Grant, s Sample) {
+func (p *Pool) recordBegin(now time.Time, g *Grant) {
 	e := g.endpointState
 	if p.rollout == nil || p.rollout.gate.State.Final() || now.Before(e.coldUntil) || p.model.n < minSlowdownWeight {
 		return
 	}
-	slow := p.slow(s.PromptBacklog, s.Latency)
+	slow := p.slow(g.promptBacklog, now.Sub(g.began()))
 	p.rollout.evidence.Record(g.req.Route, e.Version == p.rollout.gate.Target, e.ID, func(c *rollout.Count) {
 		c.Began++
 		if slow {
@@ -170,10 +170,20 @@
 	})
 }
 
+// began returns when the endpoint got a request. A version that gets few requests has new connections more often, and is not slow because
+// of the time to open them.
+func (g *Grant) began() time.Time {
+	if g.connected.IsZero() {
+		return g.sent
+	}
+	return g.connected
+}
+
 // slow reports whether a first event takes long for the prompt tokens before it.
 func (p *Pool) slow(backlog core.Tokens, latency time.Duration) bool {
 	constant, slope := p.model.coefficients()
-	return latency > minSlow && float64(latency) > slowRatio*(constant+slope*float64(backlog))
+	expected := constant + slope*float64(backlog)
+	return float64(latency) > max(slowRatio*expected, expected+float64(minSlow))
 }
 
 // recordEnd records the end of a request as evidence, unless it says nothing about the endpoint's version. One whose caller has left before
@@ -182,8 +192,8 @@
 	if p.rollout == nil || p.rollout.gate.State.Final() {
 		return
 	}
-	if waited := now.Sub(g.sent); o == Cancelled && !g.responseBegan && p.slow(g.promptBacklog, waited) {
-		p.recordBegin(now, g, Sample{PromptBacklog: g.promptBacklog, Latency: waited})
+	if o == Cancelled && !g.responseBegan && p.slow(g.promptBacklog, now.Sub(g.began())) {
+		p.recordBegin(now, g)
 	}
 	failed := o == ServerError || o == Broken || o == Silent
 	if !failed && o != Served {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -103,8 +103,8 @@
 		}
 		return
 	}
-	if known != nil && known.Target == o.Target && known.State == o.State && o.State.Final() {
-		o.State = rollout.Pending // the state is that of the order before
+	if known != nil && known.Target == o.Target {
+		o.State = rollout.Pending // the state is that of the order before, which may have been written just now
 	}
 	n := &order{
 		Order: o, item: it, seen: now, heard: now, shareSince: now, fleet: rollout.NewJudge(now), own: rollout.NewJudge(now),
