--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -304,7 +304,7 @@
 	for _, e := range p.orderedEndpoints {
 		if e.available(now) {
 			s.Free += max(e.freeSlots(), 0)
-			s.Slots += e.capacity()
+			s.Slots += e.Slots
 		}
 	}
 	for _, pr := range p.peers {
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -128,7 +128,7 @@
 }
 
 // freeSlots returns the number of slots that no known request uses.
-func (e *endpointState) freeSlots() int { return e.capacity() - e.totalRunning() }
+func (e *endpointState) freeSlots() int { return e.Slots - e.totalRunning() }
 
 // available reports whether the endpoint may get a request now. After a suspension it gets one request at a time, the
 // probe, until one succeeds. The exception is the suspension after Moved, which is not counted and needs no probe.
--- a/core/pool/knee.go
+++ b/core/pool/knee.go
@@ -114,6 +114,9 @@
 	}
 	b := &bands[k.band]
 	switch {
+	case now.Sub(b.at) >= baselineMemory: // nothing is left to compare with
+		*k = knee{}
+		return false
 	case b.fresh(now) && highestGrowth(now, bands, k.band, -triedMargin*deviation) <= flatGrowth:
 		k.band = (k.band + 1) % loadBands
 	case b.fresh(now), k.trying, now.Sub(b.at) < retryInterval:
@@ -121,7 +124,7 @@
 	}
 	k.trying = k.band > 0
 	if k.trying && !bands[k.band].fresh(now) {
-		bands[k.band] = band{}
+		bands[k.band] = band{at: now}
 	}
 	return k.trying
 }
