--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -53,6 +53,9 @@
 		return t.req.Tier < u.req.Tier
 	}
 	if t.late {
+		if t.due != u.due {
+			return t.due
+		}
 		// Newest first, because the caller of the newest request will wait the longest before it gives up. With oldest
 		// first, callers would be served shortly before they give up, and each later one would wait as long.
 		return t.req.Arrived.After(u.req.Arrived)
@@ -60,9 +63,9 @@
 	return t.effectiveArrival().Before(u.effectiveArrival())
 }
 
-// effectiveArrival is the time by which requests of one tier are ordered: the arrival plus a delay for the rank.
+// effectiveArrival is the time by which requests of one tier are ordered: the caller's first arrival plus a delay for the rank.
 func (t *Ticket) effectiveArrival() time.Time {
-	return t.req.Arrived.Add(time.Duration(t.req.Rank) * rankDelay)
+	return t.req.Arrived.Add(-t.req.Waited).Add(time.Duration(t.req.Rank) * rankDelay)
 }
 
 // remove deletes a ticket from the queue.
@@ -81,14 +84,34 @@
 	if now.Sub(p.lastPeerSum) >= peerSumInterval {
 		p.sumPeerLoads(now)
 	}
+	p.updateLimits(now)
 	p.unreportedRequests = -1
+	p.selectActive(now)
+	p.keeping = slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil })
+	p.admission.drain = p.drainRate(now)
+	recent := now.Sub(p.lastAsks) < askInterval
+	if !recent {
+		p.lastAsks = now
+	}
+	taken := true // a place may have been taken since it was checked whether one is free
+	complete := true
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
-	for _, t := range p.queue {
-		switch decision := p.decide(now, t); d := decision.(type) {
+	for i, t := range p.queue {
+		if recent && taken && p.full(now) {
+			kept = append(kept, p.queue[i:]...)
+			complete = false
+			break
+		}
+		taken = false
+		decide := p.decide
+		if t.ask != nil {
+			decide = p.decideAsk
+		}
+		switch d := decide(now, t).(type) {
 		case nil:
-			if !t.late && p.missesObjective(now, t, onTimeBefore) {
+			if !t.late && p.missesObjective(now, t, onTimeBefore) && !p.keepsPromise(now, t) {
 				t.late = true
 				newlyLate = append(newlyLate, t)
 				continue
@@ -98,12 +121,16 @@
 			}
 			kept = append(kept, t)
 		case Refusal:
-			d.State = p.state(now)
-			t.closed = true
-			t.Decided <- d
+			d.State, d.Decider = p.state(now), t.local
+			p.end(t, d)
 		case *Grant:
-			t.closed = true
-			t.Decided <- d
+			p.recordWait(now, t, 0)
+			t.recordRefused(false)
+			taken = true
+			p.end(t, d)
+		default:
+			taken = true
+			p.end(t, d)
 		}
 	}
 	clear(p.queue[len(kept):])
@@ -111,6 +138,20 @@
 	for _, t := range newlyLate {
 		p.enqueue(t)
 	}
+	if complete {
+		p.refuseLate(now, onTimeBefore)
+	}
+}
+
+// end passes a decision on to the one that waits for it.
+func (p *Pool) end(t *Ticket, d Decision) {
+	t.closed = true
+	if t.ask == nil {
+		t.Decided <- d
+		return
+	}
+	p.decidedAsks = append(p.decidedAsks, DecidedAsk{*t.ask, d})
+	p.o.Places.AskDecided()
 }
 
 // decide returns a grant, a refusal, or nil if the request stays in the queue.
@@ -118,13 +159,14 @@
 	if !now.Before(t.req.Deadline) {
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
+	t.filter = p.filter(now, &t.req)
 	candidateSlots := 0 // free slots of the candidates
 	listed := false
-	exclude, outdated, avoidPauses := p.excluded(&t.req), p.reportsOutdated(), p.readsWithoutPause(now, t)
-	trusted := t.spare || p.anyAvailable(now, exclude, &t.req)
+	exclude, outdated, avoidPauses := p.excluded(t), p.reportsOutdated(), p.readsWithoutPause(now, t)
+	trusted := t.spare || p.anyAvailable(now, exclude, t)
 	candidates := p.candidates[:0]
 	for _, e := range p.orderedEndpoints {
-		if slices.Contains(exclude, e.ID) || !t.req.allows(e.ID) {
+		if slices.Contains(exclude, e.ID) || !t.allows(e) {
 			continue
 		}
 		if !e.leaving() {
@@ -134,9 +176,9 @@
 		if !usable || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		c := candidate{endpointState: e, freeInReports: e.capacity() - e.peerLoad.running - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
+		c := candidate{endpointState: e, freeInReports: e.capacity() - e.lent - e.peerLoad.running - e.unknown - e.reportedRunning, netReleased: e.reportedRunning - e.ownRunning}
 		if outdated { // the score shows how long others wait there, by the latencies of the last requests
-			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning, 0), 0
+			c.freeInReports, c.netReleased = max(e.capacity()-e.ownRunning-e.lent, 0), 0
 		}
 		if t.req.Returning && c.freeInReports+c.netReleased <= 0 {
 			c.freeInReports, c.netReleased = 1, 0
@@ -149,6 +191,7 @@
 		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
+	candidates = t.preferTarget(candidates)
 	if p.unreportedRequests < 0 {
 		p.unreportedRequests = p.unreported(now)
 	}
@@ -170,9 +213,9 @@
 // anyAvailable reports whether one of the endpoints that a request may be sent to is available. Without one, those that are
 // only suspected are used, and the others are probed sooner: a suspension is a reason to choose another endpoint, not to refuse
 // requests.
-func (p *Pool) anyAvailable(now time.Time, exclude []core.EndpointID, req *Request) bool {
+func (p *Pool) anyAvailable(now time.Time, exclude []core.EndpointID, t *Ticket) bool {
 	return slices.ContainsFunc(p.orderedEndpoints, func(e *endpointState) bool {
-		return e.available(now) && !slices.Contains(exclude, e.ID) && req.allows(e.ID)
+		return e.available(now) && !slices.Contains(exclude, e.ID) && t.allows(e)
 	})
 }
 
@@ -226,11 +269,11 @@
 // readsWithoutPause reports whether a request can still be on time, and some endpoint can read its prompt without a long pause of
 // its streams, at least once slots are free there. The request then waits for such an endpoint.
 func (p *Pool) readsWithoutPause(now time.Time, t *Ticket) bool {
-	if t.late || t.req.Retried || t.req.GapObjective <= 0 {
+	if t.late || t.req.Retried || t.req.GapObjective <= 0 || !t.req.Objective.IsZero() && now.Add(p.fastestFirst(now, &t.req)).After(t.req.Objective) {
 		return false
 	}
 	for _, e := range p.orderedEndpoints {
-		if e.available(now) && !p.interrupts(now, e, &t.req) {
+		if e.available(now) && t.allows(e) && !p.interrupts(now, e, &t.req) {
 			return true
 		}
 	}
@@ -243,12 +286,13 @@
 }
 
 // excluded returns the endpoints to skip for a request: those that were tried, unless no other is left.
-func (p *Pool) excluded(req *Request) []core.EndpointID {
+func (p *Pool) excluded(t *Ticket) []core.EndpointID {
+	req := &t.req
 	if len(req.Only) > 0 {
 		return nil
 	}
 	for _, e := range p.orderedEndpoints {
-		if !e.leaving() && !slices.Contains(req.Exclude, e.ID) {
+		if !e.leaving() && t.allows(e) && !slices.Contains(req.Exclude, e.ID) {
 			return req.Exclude
 		}
 	}
@@ -278,12 +322,17 @@
 func (p *Pool) grant(now time.Time, e *endpointState, t *Ticket) *Grant {
 	first, last := p.model.predict(now, e, &t.req)
 	g := &Grant{
-		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now),
+		Endpoint: e.Endpoint, ExpectedLatency: first, ExpectedDuration: last, RunningAtEndpoint: e.totalRunning(), State: p.state(now), Decider: t.local,
 		endpointState: e, req: t.req, sent: now, promptBacklog: e.promptBacklog() + t.req.Prompt,
 	}
 	if e.consecutiveSuspensions > 0 {
 		g.probe, e.probing = true, true
 	}
+	p.countGrant(e)
+	if t.ask != nil && !t.ask.Own {
+		p.lend(t.ask, g)
+		return g
+	}
 	e.ownRunning++
 	e.pendingPrompt += t.req.Prompt
 	return g
@@ -303,7 +352,7 @@
 	for _, e := range p.orderedEndpoints {
 		if e.available(now) {
 			s.Free += max(e.freeSlots(), 0)
-			s.Slots += e.capacity()
+			s.Slots += e.Slots
 		}
 	}
 	for _, pr := range p.peers {
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -63,15 +63,25 @@
 	ownRunning      int         // requests of this instance
 	pendingPrompt   core.Tokens // prompt tokens of this instance's requests without a first event
 	peerLoad        peerLoad
-	reportedRunning int // value of ownRunning in this instance's last report
+	unknown         int         // see statedLoad.unknownAt, as of the last updateLimits
+	reportedRunning int         // value of ownRunning in this instance's last report
+	lent            int         // requests of others under grants of this instance, which peerLoad lacks
+	lentPrompt      core.Tokens // prompt tokens of these without a first event
+	keeper          KeeperID    // that has granted the last place here to this instance; 0 if none has
+	kept            int         // requests of this instance under its grants
+	hash            uint64      // of the id
 	scoreOffset     time.Duration
 
 	stated        slowness
+	statedLoad    statedLoad
+	limits        limitState
 	slowdown      float64 // time to the first event relative to latencyModel and the stated slowness; higher is slower
 	samples       int     // first events measured here or reported by other instances
 	eventInterval average // nanoseconds between events
 
 	created   time.Time
+	coldUntil time.Time    // until which the endpoint is expected to be slow
+	inactive  bool         // endpoint of the target of an order that gets no requests yet
 	streams   int          // streams of this instance that have begun
 	lastBytes atomic.Int64 // when the endpoint last sent a part of a stream, in nanoseconds after created
 	stalledAt time.Time    // when a stream that had begun was last given up because it got nothing more
@@ -94,19 +104,38 @@
 // accepts reports whether the endpoint accepts requests, suspended or not.
 func (e *endpointState) accepts(now time.Time) bool { return !e.leaving() && !e.notice.closed(now) }
 
+// reportedLoad returns the number of requests of all instances, according to their reports and what this one has lent to them.
+func (e *endpointState) reportedLoad() int { return e.ownRunning + e.lent + e.peerLoad.running }
+
 // totalRunning returns the number of requests of all instances.
-func (e *endpointState) totalRunning() int { return e.ownRunning + e.peerLoad.running }
+func (e *endpointState) totalRunning() int { return e.reportedLoad() + e.unknown }
+
+// slots returns the number of slots that the endpoint's entry states, or a higher one that it has stated since.
+func (e *endpointState) slots(now time.Time) int {
+	if l := &e.statedLoad; now.Sub(l.at) < maxStatedAge {
+		return max(e.Slots, l.Slots)
+	}
+	return e.Slots
+}
+
+// speed returns how quick the endpoint is relative to the usual one.
+func (e *endpointState) speed(now time.Time) float64 { return 1 / (e.slowdown * e.stated.value(now)) }
 
 // promptBacklog returns the prompt tokens of all instances' requests without a first event.
 func (e *endpointState) promptBacklog() core.Tokens {
-	return e.pendingPrompt + e.peerLoad.pendingPrompt
+	return e.pendingPrompt + e.lentPrompt + e.peerLoad.pendingPrompt
 }
 
 // capacity returns the number of requests that the endpoint is to work on at once.
-func (e *endpointState) capacity() int { return e.Slots }
+func (e *endpointState) capacity() int {
+	if e.limits.limit > 0 {
+		return e.limits.limit
+	}
+	return e.Slots
+}
 
 // freeSlots returns the number of slots that no known request uses.
-func (e *endpointState) freeSlots() int { return e.capacity() - e.totalRunning() }
+func (e *endpointState) freeSlots() int { return e.Slots - e.totalRunning() }
 
 // available reports whether the endpoint may get a request now. After a suspension it gets one request at a time, the
 // probe, until one succeeds. The exception is the suspension after Moved, which is not counted and needs no probe.
--- a/core/pool/load_test.go
+++ b/core/pool/load_test.go
@@ -29,6 +29,7 @@
 	total, ontime, late, refused, abandoned int
 	rejected, broken                        int           // attempts with that outcome, each followed by another
 	longestRefusedWait                      time.Duration // longest time from arrival to refusal
+	attempts                                []attempt     // only of workloads with a patience
 }
 
 type event struct {
@@ -64,6 +65,9 @@
 	results  map[string]*result
 	// longestQueue is the largest number of requests that waited at one engine.
 	longestQueue int
+	sent, waited int      // requests that reached an engine, and that had to wait there
+	windows      [][2]int // sent and waited, by half a second
+	keepers      *keepers
 }
 
 // cluster describes the instances and engines of a simulation.
@@ -83,6 +87,14 @@
 	absentUntil   time.Duration
 	// slowdowns are the relative service times, assigned to the engines in rotation; higher is slower.
 	slowdowns []float64
+	callers   map[string]callers // by workload; callers of others do not return
+	// keeperDown reports whether the first keeper of a data centre is down at time s, in seconds; nil if there are no keepers.
+	keeperDown func(centre int, s float64) bool
+	// lossy loses one in 20 messages about places, and repeats another one.
+	lossy  bool
+	limits pool.Limits
+	// groups is the number of groups of the engines of a data centre; 0 means 1.
+	groups int
 }
 
 const (
@@ -120,7 +132,7 @@
 		s.slowdown[list[i].ID] = f.slowdowns[i/s.centres%len(f.slowdowns)]
 	}
 	for i := range f.instances {
-		p := pool.New(pool.Options{Centre: s.centre(i), Seed: uint64(i) * 977})
+		p := pool.New(s.poolOptions(i))
 		p.SetEndpoints(begin, list[f.absentEngines:])
 		if f.absentEngines > 0 {
 			s.after(f.absentUntil+time.Duration(s.rng.Int64N(int64(listSpread))), func() { p.SetEndpoints(s.now, list) })
@@ -143,6 +155,9 @@
 		}
 	}
 	s.after(0, func() { s.tick(end) })
+	if f.keeperDown != nil {
+		s.after(0, func() { s.exchangeRooms(end) })
+	}
 	for s.pending.Len() > 0 {
 		e := heap.Pop(&s.pending).(event)
 		s.now = e.at
@@ -171,12 +186,17 @@
 // request submits a request to a random instance.
 func (s *simulation) request(w workload) {
 	s.results[w.name].total++
-	p := s.pools[s.rng.IntN(len(s.pools))]
+	i := s.rng.IntN(len(s.pools))
+	for s.down(i, s.now) { // callers go to another one
+		i = s.rng.IntN(len(s.pools))
+	}
+	p := s.pools[i]
 	req := pool.Request{
 		Tier: 1, Rank: w.rank, Prompt: w.prompt, MaxOutput: core.Tokens(simulatedEventTokens * max(1, int(float64(w.events)*s.rng.ExpFloat64()))),
-		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter),
+		Arrived: s.now, Objective: s.now.Add(w.objective), Deadline: s.now.Add(abandonAfter), Stream: w.events > 1,
 	}
-	s.poll(w, p, p.Submit(s.now, req), req)
+	s.callers[w.name].prepare(s, &req)
+	s.poll(w, p, s.submit(i, req), req)
 }
 
 // poll checks a ticket every millisecond; io/proxy waits on Ticket.Decided instead.
@@ -188,6 +208,7 @@
 		r := s.results[w.name]
 		r.refused++
 		r.longestRefusedWait = max(r.longestRefusedWait, s.now.Sub(req.Arrived))
+		s.refused(w, req, d)
 	default:
 		s.after(time.Millisecond, func() { s.poll(w, p, t, req) })
 	}
@@ -215,7 +236,8 @@
 		s.after(first, func() {
 			p.RecordLoad(s.now, granted, pool.StatedLoad{Running: s.running[id], Waiting: len(s.waiting[id]), Slots: s.slots})
 			p.RecordFirstEvent(s.now, granted)
-			took := s.now.Sub(req.Arrived)
+			took := s.now.Sub(req.Arrived) + waited(&req)
+			s.served(w, req, took)
 			switch {
 			case took <= w.objective:
 				r.ontime++
@@ -226,7 +248,7 @@
 			}
 			s.after(step*time.Duration(n), func() {
 				done()
-				p.RecordEvents(granted, n, step*time.Duration(n))
+				p.RecordEvents(granted, n, step*time.Duration(n), 0)
 				p.Release(s.now, granted, pool.Served)
 			})
 		})
@@ -250,12 +272,20 @@
 			}
 		})
 	}
+	s.sent++
+	window := int(s.now.Sub(begin) / (500 * time.Millisecond))
+	for len(s.windows) <= window {
+		s.windows = append(s.windows, [2]int{})
+	}
+	s.windows[window][0]++
 	switch {
 	case s.running[id] < s.slots:
 		start()
 	case s.engineQueueLimit > 0 && len(s.waiting[id]) >= s.engineQueueLimit:
 		return false
 	default:
+		s.waited++
+		s.windows[window][1]++
 		s.waiting[id] = append(s.waiting[id], start)
 		s.longestQueue = max(s.longestQueue, len(s.waiting[id]))
 	}
@@ -280,7 +310,7 @@
 // exchangeReport sends the report of one instance to those of its data centre.
 func (s *simulation) exchangeReport(end time.Time, i int) {
 	s.sendReport(i)
-	if s.now.Before(end) {
+	if s.now.Before(s.lastReport(end)) {
 		s.after(s.cluster.reportInterval, func() { s.exchangeReport(end, i) })
 	}
 }
@@ -288,8 +318,11 @@
 // sendReport sends the report of an instance to all others, or only to those of its data centre if there are sums.
 func (s *simulation) sendReport(i int) {
 	r := s.pools[i].TakeReport()
+	if s.down(i, s.now) {
+		return
+	}
 	for j, other := range s.pools {
-		if same := i%s.centres == j%s.centres; j != i && (same || s.summaryInterval == 0) {
+		if same := i%s.centres == j%s.centres; j != i && (same || s.summaryInterval == 0) && !s.down(j, s.now) {
 			s.after(reportDelay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint(i)), same, r) })
 		}
 	}
@@ -297,7 +330,11 @@
 
 // exchangeSums sends the sum of a data centre to the instances elsewhere, one of which passes it on with its next report.
 func (s *simulation) exchangeSums(end time.Time, c int) {
-	r := s.pools[c].CentreReport(s.now)
+	relay := c
+	if s.keepers != nil {
+		relay = s.keeperOf(c, 0)
+	}
+	r := s.pools[relay].CentreReport(s.now)
 	delay := reportDelay + time.Duration(s.rng.Int64N(int64(s.reportInterval)))
 	for j, other := range s.pools {
 		if j%s.centres != c {
@@ -305,17 +342,28 @@
 			s.after(delay, func() { other.ApplyReport(s.now, core.InstanceID(fmt.Sprint("centre ", c)), false, r) })
 		}
 	}
-	if s.now.Before(end) {
+	if s.now.Before(s.lastReport(end)) {
 		s.after(s.summaryInterval, func() { s.exchangeSums(end, c) })
 	}
 }
 
+// lastReport returns when the last reports are sent. With keepers, those after the end show which places are free.
+func (s *simulation) lastReport(end time.Time) time.Time {
+	if s.keepers != nil {
+		return end.Add(30 * time.Second) // the longest requests last 20 s
+	}
+	return end
+}
+
 // tick calls Tick on all pools every 5 ms, until 5 s after end.
 func (s *simulation) tick(end time.Time) {
-	for _, p := range s.pools {
-		p.Tick(s.now)
+	for i, p := range s.pools {
+		if p.Waiting() > 0 {
+			p.Tick(s.now)
+		}
+		s.answer(i)
 	}
-	if s.now.Before(end.Add(5 * time.Second)) {
+	if s.now.Before(end.Add(5*time.Second)) || s.now.Before(s.lastReport(end)) {
 		s.after(5*time.Millisecond, func() { s.tick(end) })
 	}
 }
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -88,11 +88,12 @@
 }
 
 // Accepts reports whether the endpoint of a grant still accepts requests. Between the grant and the sending, its entry or a
-// response to another request may have changed that.
+// response to another request may have changed that. It is called when the connection is open.
 func (p *Pool) Accepts(now time.Time, g *Grant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return g.endpointState.accepts(now)
+	g.connected = now
+	return g.endpointState.accepts(now) && !p.barred(now, g.endpointState)
 }
 
 // Leaving reports whether the endpoint of a grant is shutting down, according to its entry or its own responses.
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -43,7 +43,8 @@
 	sameCentre bool
 	loads      []Load // one per endpoint, by id
 	queued     int    // sum of waiting and late
-	running    int    // requests at listed endpoints, when the loads were last summed
+	running    int    // requests at listed endpoints, when the loads were last summed, without those in lent
+	lent       int    // requests at places that this instance has lent
 	waiting    []int
 	late       int
 	rate       average // first events per second, of which a report has at most maxReportEntries
@@ -54,6 +55,41 @@
 	Endpoint      core.EndpointID
 	Running       int
 	PendingPrompt core.Tokens // prompt tokens of requests without a first event
+	// Kept of the running requests are under grants of a keeper.
+	Kept   int
+	Keeper KeeperID
+
+	lent int // of them, those that this instance counts as lent
+}
+
+// add returns the sum of two loads of one endpoint. Of two keepers, the one that has granted more is kept.
+func (l Load) add(m Load) Load {
+	sum := Load{Endpoint: m.Endpoint, Running: l.Running + m.Running, PendingPrompt: l.PendingPrompt + m.PendingPrompt, Kept: l.Kept, Keeper: l.Keeper}
+	switch {
+	case l.Keeper == m.Keeper:
+		sum.Kept += m.Kept
+	case m.Kept > l.Kept:
+		sum.Kept, sum.Keeper = m.Kept, m.Keeper
+	}
+	return sum
+}
+
+// uncountedPrompt returns the part of PendingPrompt that does not belong to lent places. The report does not tell them apart, and the
+// keeper knows sooner when a response begins.
+func (l *Load) uncountedPrompt() core.Tokens {
+	if l.Running <= 0 {
+		return 0
+	}
+	return l.PendingPrompt * core.Tokens(l.Running-l.lent) / core.Tokens(l.Running)
+}
+
+// ownLoad returns the load of this instance at an endpoint.
+func (e *endpointState) ownLoad() Load {
+	l := Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt, Kept: e.kept}
+	if e.kept > 0 {
+		l.Keeper = e.keeper
+	}
+	return l
 }
 
 // Sample is a measured time to the first event. PromptBacklog is the number of prompt tokens that the endpoint had to
@@ -63,6 +99,7 @@
 	PromptBacklog core.Tokens
 	Latency       time.Duration
 	Slowness      float64 // stated by the endpoint; 0 if not
+	Load          int     // requests there, as the endpoint stated; 0 if not
 }
 
 // maxReportEntries bounds the samples and, separately, the failures of a report. Usually there are only a few of each
@@ -80,6 +117,7 @@
 	// Samples and Failures cover the time since the last report. Failures has the endpoint of each attempt whose outcome
 	// was Broken, Unreachable, Silent or TimedOut.
 	Samples  []Sample
+	Work     []Work // likewise
 	Failures []core.EndpointID
 	// Age is the time since which the report is true on average; only for reports of a data centre.
 	Age time.Duration
@@ -92,13 +130,13 @@
 func (p *Pool) CentreReport(now time.Time) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Samples: p.centreSamples, Waiting: p.waitingByTier()}
+	r := Report{Samples: p.centreSamples, Work: p.centreWork, Waiting: p.waitingByTier()}
 	r.Late = len(p.queue) - lo.Sum(r.Waiting)
-	p.centreSamples = nil
+	p.centreSamples, p.centreWork = nil, nil
 	loads := map[core.EndpointID]Load{}
 	for _, e := range p.orderedEndpoints {
 		if e.ownRunning > 0 {
-			loads[e.ID] = Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt}
+			loads[e.ID] = e.ownLoad()
 		}
 	}
 	reports := 1
@@ -116,7 +154,7 @@
 		}
 		for _, l := range pr.loads {
 			sum := loads[l.Endpoint]
-			loads[l.Endpoint] = Load{Endpoint: l.Endpoint, Running: sum.Running + l.Running, PendingPrompt: sum.PendingPrompt + l.PendingPrompt}
+			loads[l.Endpoint] = sum.add(l)
 		}
 	}
 	r.Age /= time.Duration(reports)
@@ -152,14 +190,14 @@
 func (p *Pool) TakeReport() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Samples: p.samples, Failures: p.failures, Waiting: p.waitingByTier()}
+	r := Report{Samples: p.samples, Work: p.newWork, Failures: p.failures, Waiting: p.waitingByTier()}
 	r.Late = len(p.queue) - lo.Sum(r.Waiting)
-	p.samples, p.failures = nil, nil
+	p.samples, p.newWork, p.failures = nil, nil, nil
 	p.assumedPosition = p.rng.Float64()
 	for _, e := range p.orderedEndpoints {
 		e.reportedRunning = e.ownRunning
 		if e.ownRunning > 0 {
-			r.Loads = append(r.Loads, Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt})
+			r.Loads = append(r.Loads, e.ownLoad())
 		}
 	}
 	return r
@@ -177,6 +215,7 @@
 		queued: lo.Sum(r.Waiting) + r.Late,
 	}
 	since := now.Add(-reportValidity) // earliest time of the outcomes
+	pr.loads = p.reconcileLent(from, pr.at, pr.loads)
 	if previous := p.peers[from]; previous != nil {
 		since = previous.at
 		pr.rate = previous.rate
@@ -186,6 +225,10 @@
 	for _, s := range r.Samples {
 		if e := p.endpoints[s.Endpoint]; e != nil {
 			e.stated.record(pr.at, s.Slowness)
+			if s.Load > 0 {
+				l := StatedLoad{Running: min(s.Load, e.Slots), Waiting: max(s.Load-e.Slots, 0), Slots: e.Slots, Slowness: s.Slowness}
+				e.statedLoad.record(now, l, e.reportedLoad(), toldGain)
+			}
 			p.model.addSample(e, s)
 			if sameCentre {
 				p.addCentreSample(s)
@@ -193,6 +236,14 @@
 			}
 		}
 	}
+	for _, w := range r.Work {
+		if e := p.endpoints[w.Endpoint]; e != nil {
+			p.addWork(pr.at, e, w)
+			if sameCentre {
+				p.addCentreWork(w)
+			}
+		}
+	}
 	for _, id := range r.Failures {
 		if e := p.endpoints[id]; e != nil && sameCentre {
 			p.updateAndLog(now, e, func() { e.recordPeerOutcome(now, since, true, p.rng) })
@@ -235,13 +286,15 @@
 
 // addPeerLoads adds the loads of a report, times factor, to the endpoints.
 func (p *Pool) addPeerLoads(pr *peerReport, factor int) {
-	pr.running = 0
+	pr.running, pr.lent = 0, 0
 	for i := range pr.loads {
 		l := &pr.loads[i]
 		if e := p.endpoints[l.Endpoint]; e != nil {
-			e.peerLoad.running += factor * l.Running
-			e.peerLoad.pendingPrompt += core.Tokens(factor) * l.PendingPrompt
-			pr.running += l.Running
+			counted := l.Running - l.lent
+			e.peerLoad.running += factor * counted
+			e.peerLoad.pendingPrompt += core.Tokens(factor) * l.uncountedPrompt()
+			pr.running += counted
+			pr.lent += l.lent
 		}
 	}
 }
@@ -259,7 +312,8 @@
 		}
 		p.listChanged = false
 	}
-	running, age, rate := 0, time.Duration(0), 0.0
+	p.expireLent(now)
+	running, timed, age, rate := 0, 0, time.Duration(0), 0.0
 	remote, remoteAge := 0, time.Duration(0)
 	clear(p.waitingAtPeers)
 	for id, pr := range p.peers {
@@ -267,7 +321,10 @@
 			p.replacePeer(id, nil)
 			continue
 		}
-		rate += pr.rate.value
+		if pr.lent == 0 {
+			rate += pr.rate.value
+			timed += pr.running
+		}
 		for tier, n := range pr.waiting {
 			if tier == len(p.waitingAtPeers) {
 				p.waitingAtPeers = append(p.waitingAtPeers, 0)
@@ -283,8 +340,8 @@
 	}
 	p.peerLoadAge = age / time.Duration(max(running, 1))
 	p.remotePenalty = minRemotePenalty + time.Duration(remoteAgeWeight*float64(remoteAge)/float64(max(remote, 1)))
-	if rate > 0 && running > 0 { // Little's law
-		p.peerServiceTime.add(float64(running)/rate, peerServiceTimeWeight)
+	if rate > 0 && timed > 0 { // Little's law
+		p.peerServiceTime.add(float64(timed)/rate, peerServiceTimeWeight)
 	}
 }
 
@@ -306,14 +363,18 @@
 }
 
 // unreported estimates how many requests of other instances hold a slot, or will take the next free one, without being
-// listed as running in the last reports: the requests sent since the report, at the recent rate of the instance, and
+// listed as running in the last reports: the requests sent since the report, at the recent rate of the instance and as many more as are
+// refused here, and
 // those that were queued at the time of the report. If the mean service time is shorter than the age of a report, only
 // that fraction of them is still running.
 func (p *Pool) unreported(now time.Time) int {
-	n := 0.0
+	n, excess := 0.0, p.admission.excess(now)
 	for _, pr := range p.peers {
+		if pr.lent > 0 { // this instance knows what they send
+			continue
+		}
 		age := max(now.Sub(pr.at), time.Millisecond)
-		m := pr.rate.value*age.Seconds() + float64(pr.queued)
+		m := excess*pr.rate.value*age.Seconds() + float64(pr.queued)
 		n += m * min(1, p.serviceTime.value/float64(age))
 	}
 	return min(int(n), maxUnreported)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"monsoondale/core"
+	"monsoondale/core/rollout"
 )
 
 // Endpoint is an entry of the list of endpoints.
@@ -20,8 +22,11 @@
 	ID      core.EndpointID
 	Address string // IP and port
 	Centre  core.DataCentre
-	Slots   int  // maximum number of concurrent requests
-	Leaving bool // shutting down; gets no new requests
+	Version core.SoftwareVersion // empty if unknown
+	Slots   int                  // maximum number of concurrent requests
+	Leaving bool                 // shutting down; gets no new requests
+	// Cold is how long the endpoint stays slow after this entry was written.
+	Cold time.Duration
 	// Incarnation distinguishes restarts under the same id; 0 if unknown.
 	Incarnation int64
 	// Sequence is the number of the entry within the incarnation.
@@ -34,14 +39,28 @@
 	return leaving.Leaving && !e.Leaving && e.Incarnation != 0 && e.Incarnation == leaving.Incarnation && e.Sequence < leaving.Sequence
 }
 
+// Precedes reports whether an entry was written earlier than another one of the same endpoint: by an earlier process, or earlier by the
+// same one. Of processes whose start is unknown it is not known.
+func (e *Endpoint) Precedes(o *Endpoint) bool {
+	if e.Incarnation == 0 || o.Incarnation == 0 {
+		return false
+	}
+	return e.Incarnation < o.Incarnation || e.Incarnation == o.Incarnation && e.Sequence < o.Sequence
+}
+
 // Request describes a request that needs an endpoint.
 type Request struct {
 	ID        core.RequestID
 	Tier      core.Tier
+	Workspace core.WorkspaceID // empty if there is none
+	Route     string           // its name
 	Prompt    core.Tokens
 	MaxOutput core.Tokens // upper bound; 0 if the request does not state it
 	// Arrived is the time at which the request had been read completely.
 	Arrived time.Time
+	// Waited is how long before Arrived the caller began to wait, if it was turned away and has returned. It counts for the order
+	// of the queue; Objective is to allow for it too.
+	Waited time.Duration
 	// Objective is the latest time at which the response, or the first event of a stream, counts as on time. Zero for
 	// none.
 	Objective time.Time
@@ -73,12 +92,13 @@
 // Decision is the result of scheduling a request: a *Grant or a Refusal.
 type Decision interface{ decision() }
 
-// Refusal is the decision not to serve a request. RetryAfter is the estimated time in which the queued requests are
-// completed, within bounds, or a short fixed time if the reason is not an overload.
+// Refusal is the decision not to serve a request. RetryAfter is the time in which a place is expected for it, within bounds, or
+// a short fixed time if the reason is not an overload.
 type Refusal struct {
 	RetryAfter time.Duration
 	Reason     string
 	State      State
+	Decider    string // see Grant
 }
 
 // State summarises the pool at the time of a decision.
@@ -87,6 +107,8 @@
 	Free    int // slots of available endpoints that no known request uses
 	Slots   int // slots of available endpoints
 	Peers   int // other instances with a valid report
+	// PredictedWait is the time in the queue that was predicted on arrival for a request that is refused because of an overload.
+	PredictedWait time.Duration
 	// ReportAge is the age of the oldest of these reports.
 	ReportAge time.Duration
 }
@@ -101,16 +123,24 @@
 	// RunningAtEndpoint is the known number of requests of all instances at the endpoint just before the grant.
 	RunningAtEndpoint int
 	State             State
+	// Decider is the keeper, or why this instance has decided although there is one; empty if there is none.
+	Decider string
 
 	endpointState *endpointState
 	req           Request
 	sent          time.Time // when the grant was made
+	connected     time.Time // when the request was about to be sent; zero before
 	// promptBacklog is the number of prompt tokens that the endpoint processes before the first event, including those of
 	// this request.
 	promptBacklog core.Tokens
-	responseBegan bool    // the response has begun
-	slowness      float64 // stated in the response; 0 if not
-	probe         bool    // the endpoint is being probed after a suspension
+	responseBegan bool      // the response has begun
+	slowness      float64   // stated in the response; 0 if not
+	statedAt      time.Time // when it was stated
+	slownessSum   float64   // see slowness.until
+	statedLoad    int       // requests at the endpoint, as the response stated; 0 if not
+	interval      float64   // mean time between two events, in nanoseconds; 0 if not known
+	probe         bool      // the endpoint is being probed after a suspension
+	place         PlaceID   // zero if this instance has decided itself
 }
 
 func (*Grant) decision()  {}
@@ -154,18 +184,31 @@
 	Decided chan Decision
 	req     Request
 	late    bool // the request can no longer be on time
-	closed  bool // decided or withdrawn; no longer in the queue
+	// expectedWait is the wait in the queue that was predicted on arrival; below 0 until then.
+	expectedWait time.Duration
+	kind         *kindStats // may be nil
+	due          bool       // its caller returns in the time that it was told
+	promised     bool       // it goes before others for that, although it is late
+	closed       bool       // decided or withdrawn; no longer in the queue
 	// spare marks a request that another endpoint is working on, so that it is not refused if it gets none.
-	spare bool
+	spare  bool
+	filter rollout.Filter // at the last decision
+	ask    *Ask           // that this instance decides as a keeper; nil for other requests
+	local  string         // why this instance decides, not a keeper; empty if there is none
 }
 
 // Options configures a Pool.
 type Options struct {
 	Centre core.DataCentre // of this instance
+	Limits Limits
 	// Seed makes instances with the same reports choose different endpoints.
 	Seed uint64
 	// Log receives a line for each endpoint that is suspended or available again.
 	Log logr.Logger
+	// Keeper is the id of this instance as a keeper, and Places is told of places of other keepers and of decided asks. Both are unset if
+	// there are no keepers.
+	Keeper KeeperID
+	Places PlaceObserver
 }
 
 // streamIntervalWeight is the weight of the newest stream in an endpoint's mean time between events.
@@ -180,8 +223,9 @@
 	mu                 sync.Mutex
 	o                  Options
 	endpoints          map[core.EndpointID]*endpointState
-	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance run there
+	gone               map[core.EndpointID]*endpointState // no longer listed, but requests of this instance, or at lent places, run there
 	notices            map[core.EndpointID]*noticeState
+	rollout            *rolloutState    // nil without an order
 	orderedEndpoints   []*endpointState // by id
 	queue              []*Ticket        // in the order of precedes
 	peers              map[core.InstanceID]*peerReport
@@ -193,22 +237,36 @@
 	peerServiceTime    average       // seconds from grant to completion at the other instances
 	remotePenalty      time.Duration // see minRemotePenalty
 	model              latencyModel
-	completionInterval intervalAverage
+	admission          admission
 	samples            []Sample          // since the last report
 	centreSamples      []Sample          // of the data centre, since its last report
 	failures           []core.EndpointID // since the last report
-	meanPrompt         average           // prompt tokens of a request
-	candidates         []candidate       // reused by decide
-	serviceTime        average           // nanoseconds from grant to completion of a served request
+	newWork            []Work            // since the last report
+	centreWork         []Work            // of the data centre, since its last report
+	work               [loadBands]band   // of all endpoints
+	gapObjective       average           // nanoseconds
+	workVariance       average           // of the logarithm of the times in work
+	limitsUpdated      time.Time
+	exploring          int         // endpoints that are being measured at half of their slots
+	pauseRatio         average     // longest pause of a stream relative to its mean time between events
+	meanPrompt         average     // prompt tokens of a request
+	candidates         []candidate // reused by decide
+	serviceTime        average     // nanoseconds from grant to completion of a served request
 	rng                *rand.Rand
 	// assumedPosition is a random position of this instance in the order of sending, from 0 to 1, which is drawn anew for
 	// each report. chooseEndpoint uses it.
 	assumedPosition float64
+	lent            map[core.InstanceID]*originPlaces // by the sender of the reports that show their requests
+	keeping         bool                              // asks are queued, see Lend; as of the present call of assign
+	lastAsks        time.Time                         // when assign last went through the whole queue, asks included
+	rooms           map[core.DataCentre]*room         // in the other data centres
+	roomsBuffer     []core.DataCentre                 // reused by openRooms
+	decidedAsks     []DecidedAsk                      // since TakeDecided
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, gone: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]*peerReport{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	return &Pool{o: o, endpoints: map[core.EndpointID]*endpointState{}, gone: map[core.EndpointID]*endpointState{}, notices: map[core.EndpointID]*noticeState{}, peers: map[core.InstanceID]*peerReport{}, lent: map[core.InstanceID]*originPlaces{}, rooms: map[core.DataCentre]*room{}, remotePenalty: minRemotePenalty, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // SetEndpoints replaces the list of endpoints. Requests at endpoints that are no longer listed continue, and occupy their slots
@@ -224,7 +282,7 @@
 			e = p.gone[entry.ID]
 		}
 		if e == nil || e.Address != entry.Address || e.Incarnation != entry.Incarnation {
-			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now}
+			e = &endpointState{slowdown: 1, scoreOffset: p.scoreOffset(entry.ID), created: now, coldUntil: now.Add(entry.Cold), hash: xxhash.Sum64String(string(entry.ID))}
 		}
 		p.endpoints[entry.ID] = e
 		delete(p.gone, entry.ID)
@@ -240,7 +298,7 @@
 	for id, e := range p.endpoints {
 		if !listed[id] {
 			delete(p.endpoints, id)
-			if e.ownRunning > 0 {
+			if e.ownRunning > 0 || e.lent > 0 {
 				p.gone[id] = e
 			}
 			continue
@@ -260,7 +318,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.meanPrompt.add(float64(t.req.Prompt), requestWeight)
-	t.Decided = make(chan Decision, 1)
+	p.admission.recordArrival(now, t)
+	t.Decided, t.expectedWait = make(chan Decision, 1), -1
 	p.enqueue(t)
 	p.assign(now)
 	return t
@@ -317,8 +376,12 @@
 		g.endpointState.recordResponse(now)
 	})
 	g.endpointState.pendingPrompt -= g.req.Prompt
+	if g.place != (PlaceID{}) {
+		p.o.Places.PlaceBegan(g.place)
+	}
 	g.endProbe()
-	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness}
+	s := Sample{Endpoint: g.Endpoint.ID, PromptBacklog: g.promptBacklog, Latency: now.Sub(g.sent), Slowness: g.slowness, Load: g.statedLoad}
+	p.recordBegin(now, g)
 	p.model.addSample(g.endpointState, s)
 	if len(p.samples) < maxReportEntries {
 		p.samples = append(p.samples, s)
@@ -358,15 +421,23 @@
 	return !e.lastHeard().After(t) && (e.streams > 0 || e.stalledAt.After(g.sent))
 }
 
-// RecordEvents records that a number of events of a stream took d, which updates the mean time between events.
-func (p *Pool) RecordEvents(g *Grant, events int, d time.Duration) {
+// RecordEvents records that a number of events of a stream took d, and the longest pause between two of them, which updates the mean
+// time between events.
+func (p *Pool) RecordEvents(g *Grant, events int, d, longest time.Duration) {
 	if events <= 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	interval := float64(d) / float64(events)
+	g.interval = interval
 	g.endpointState.eventInterval.add(interval, streamIntervalWeight)
+	if events >= minPauseEvents && interval > 0 {
+		p.pauseRatio.add(float64(longest)/interval, requestWeight)
+	}
+	if g.req.GapObjective > 0 {
+		p.gapObjective.add(float64(g.req.GapObjective), requestWeight)
+	}
 	if g.slowness > 0 {
 		p.model.eventInterval.add(interval/g.slowness, requestWeight)
 	}
@@ -377,10 +448,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := g.endpointState
-	e.ownRunning--
-	if e.ownRunning == 0 && p.gone[e.ID] == e {
-		delete(p.gone, e.ID)
+	if o == Served {
+		p.recordWork(now, g)
 	}
+	e.ownRunning--
+	p.releasePlace(g, o == Served || o == ServerError)
+	p.forgetGone(e)
 	switch {
 	case !g.responseBegan:
 		e.pendingPrompt -= g.req.Prompt
@@ -391,17 +464,24 @@
 		}
 	}
 	g.endProbe()
+	p.recordEnd(now, g, o)
 	p.updateAndLog(now, e, func() { e.recordOutcome(now, o) })
 	if (o == Broken || o == Unreachable || o == Silent || o == TimedOut) && len(p.failures) < maxReportEntries {
 		p.failures = append(p.failures, e.ID)
 	}
 	if o == Served || o == ServerError {
-		p.completionInterval.add(now)
 		p.serviceTime.add(float64(now.Sub(g.sent)), requestWeight)
 	}
 	p.assign(now)
 }
 
+// forgetGone forgets an endpoint that is no longer listed once no requests that are counted here run there.
+func (p *Pool) forgetGone(e *endpointState) {
+	if e.ownRunning == 0 && e.lent == 0 && p.gone[e.ID] == e {
+		delete(p.gone, e.ID)
+	}
+}
+
 // endProbe lets the next request probe the endpoint of a grant.
 func (g *Grant) endProbe() {
 	if g.probe {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -73,7 +74,10 @@
 	Headers  proxy.HeaderCodec
 	// RequestIDHeader is the response header in which endpoints repeat the request's id.
 	RequestIDHeader string
+	Limits          pool.Limits
 	Log             logr.Logger
+	// Places tells whether keepers grant the places of endpoints.
+	Places PlacesMode
 }
 
 // Gateway is a running instance.
@@ -88,13 +92,20 @@
 	metrics         metrics.Registry
 	config          atomic.Pointer[proxy.Config]
 	publishedCopies [collectionCount]atomic.Pointer[publishedCopy]
+	era             atomic.Int64 // latest one of the store
+	keptCount       atomic.Int64 // objects that are kept, see mirror.Mirror.Kept
 	ready           atomic.Bool
 	leaving         atomic.Bool
+	orders          atomic.Pointer[wire.Orders] // as of the last update, for operators
+	stops           chan route.Service          // of orders, by operators
 	// recording is set while a record of the usage of workspaces is being written.
 	recording atomic.Bool
 	// quarantine holds the parts of prompts that crash endpoints.
 	quarantine    *quarantine.Ledger
+	places        *keptPlaces
 	parts         partsRecord
+	entryLost     chan struct{} // the restored store lacks the entry of this instance
+	registered    atomic.Int64  // era in which it was written; -1 before that
 	updates       chan update
 	digests       chan wire.Digest
 	watch         *watchState
@@ -115,6 +126,7 @@
 	forward           []wire.Summary          // to be passed on within the data centre
 	pools             map[route.Service]*pool.Pool
 	table             *route.Table
+	configBody        []byte                            // of which table was made
 	entries           map[core.EndpointID]pool.Endpoint // that can be decoded, as in force
 	skipped           [collectionCount]skipped          // entries that could not be decoded
 	unidentified      [collectionCount]skipped          // entries of the last list of which it is not known which object they are
@@ -122,10 +134,16 @@
 	fetches           [collectionCount]fetches          // of copies from other instances, in progress
 	stated            watchStatement
 	digestNumber      int
+	ordersUpdated     time.Time                // when updateOrders last ran
+	rollouts          map[route.Service]*order // orders in the store
 	lastTick          time.Time
 	lastRecordAttempt time.Time
-	partsInForce      bool // requests are served, as parts.known was set
+	copied            [collectionCount]bool // another instance's copy has been applied
+	caughtUp          bool                  // requests are served, as what a restored store may lack is known, see mayServe
+	partsInForce      bool                  // requests are served, as parts.known was set
 	lastWallTime      time.Time
+	keptSeen          [collectionCount]core.Revision // highest one of those that copies were fetched for, see fetchKept
+	partsEra          core.Era                       // for which the parts are due to be written
 }
 
 // Start opens the listeners of a gateway and runs it.
@@ -139,26 +157,27 @@
 		metrics: metrics.NewRegistry(), watch: newWatchState(), lateness: lateness.New(standstillInterval),
 		updates: make(chan update, 16), digests: make(chan wire.Digest, 256),
 		pools:     map[route.Service]*pool.Pool{},
-		addresses: map[string]*net.UDPAddr{},
-		fleet:     fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
+		addresses: map[string]*net.UDPAddr{}, entryLost: make(chan struct{}, 1),
+		rollouts: map[route.Service]*order{}, stops: make(chan route.Service, 8),
+		fleet: fleet.New(fleet.Options{Self: fleet.Member{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre}, YoungFor: s.QuotaWindow}),
 	}
+	g.registered.Store(-1)
 	g.budgets = newBudgets(g.start, s)
+	g.places = newKeptPlaces(g)
 	g.quarantine = quarantine.New(quarantine.Options{Log: o.Log})
 	metrics.NewRegisteredFunctionalGauge("parts.quarantined", g.metrics, func() int64 { n, _ := g.quarantine.Size(); return int64(n) })
 	metrics.NewRegisteredFunctionalGauge("parts.crashes", g.metrics, func() int64 { _, n := g.quarantine.Size(); return int64(n) })
+	metrics.NewRegisteredFunctionalGauge("store.era", g.metrics, g.era.Load)
+	metrics.NewRegisteredFunctionalGauge("store.kept", g.metrics, g.keptCount.Load)
 	for c := range collectionCount {
-		o := mirror.Options{}
-		if c == Endpoints {
-			o.Grace = endpointGrace
-		}
-		g.mirrors[c] = mirror.New(o)
+		g.mirrors[c] = mirror.New(mirrorOptions(o.Store, c))
 	}
 	g.config.Store(&proxy.Config{})
 	g.client = endpoint.New(endpoint.Options{RequestIDHeader: o.RequestIDHeader})
 	g.proxy = proxy.New(proxy.Options{
 		Headers: o.Headers, Client: g.client, Budgets: g.budgets, Config: func() proxy.Config { return *g.config.Load() },
 		Quarantine: g.quarantine, ReserveTrial: g.reserveTrial, Lateness: func() time.Duration { return g.lateness.Longest(time.Now()) },
-		Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
+		Places: g.places, Log: g.log, Metrics: g.metrics, MaxBuffered: int64(bodyShare * float64(s.MemoryLimit)),
 	})
 	var err error
 	g.mesh, err = mesh.Listen(mesh.Options{
@@ -170,11 +189,13 @@
 				// The queue is full. A later digest replaces the state in this one, but not its samples and failures.
 			}
 		},
-		OnError: func(err error) { g.log.Info("mesh message lost", "cause", err.Error()) },
+		OnPlaces: func(m wire.Places) { g.places.receive(time.Now(), &m) },
+		OnError:  func(err error) { g.log.Info("mesh message lost", "cause", err.Error()) },
 	})
 	if err != nil {
 		return nil, err
 	}
+	g.places.mesh.Store(g.mesh)
 	if err := g.listen(s); err != nil {
 		g.mesh.Close()
 		return nil, err
@@ -187,6 +208,9 @@
 		g.controlLoop(ctx)
 	}()
 	for c := range collectionCount {
+		if c == Rollouts && !s.Rollouts.Enabled {
+			continue
+		}
 		w := &storeWatcher{collection: c, store: o.Store, log: g.log, updates: g.updates, watch: g.watch, mirrorRevision: &g.revisions[c], contact: calls}
 		g.wg.Add(1)
 		go func() {
@@ -194,7 +218,7 @@
 			w.run(ctx)
 		}()
 	}
-	for _, run := range []func(context.Context){g.register, g.restoreUsage, g.restoreParts, g.watchStandstill} {
+	for _, run := range []func(context.Context){g.registerAgain, g.restoreUsage, g.restoreParts, g.watchStandstill, g.places.run} {
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
@@ -223,6 +247,9 @@
 	})
 	scrape.HandleFunc("GET /parts", g.listParts)
 	scrape.HandleFunc("DELETE /parts/{id}", g.releaseParts)
+	scrape.HandleFunc("GET /endpoints", g.listEndpoints)
+	scrape.HandleFunc("GET /rollouts", g.listOrders)
+	scrape.HandleFunc("DELETE /rollouts/{service}", g.stopOrder)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -292,9 +319,13 @@
 	for _, it := range c.Items {
 		switch {
 		case !it.Deleted:
-			w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: it.Body})
+			w.Items = append(w.Items, wire.Item{Name: it.Name, Revision: int(it.Revision), Kept: int(it.Kept), Body: it.Body})
 		case marks || !c.Full:
-			w.Gone = append(w.Gone, wire.Item{Name: it.Name, Revision: int(it.Revision), Body: json.RawMessage("null")})
+			gone := wire.Item{Name: it.Name, Revision: int(it.Revision), Kept: int(it.Kept), Body: json.RawMessage("null")}
+			if it.Kept > 0 && it.Body != nil {
+				gone.Body = it.Body
+			}
+			w.Gone = append(w.Gone, gone)
 		}
 	}
 	for _, d := range c.Doubts {
@@ -332,9 +363,12 @@
 			g.applyUpdate(time.Now(), u)
 		case d := <-g.digests:
 			g.handleDigest(ctx, time.Now(), &d)
+		case s := <-g.stops:
+			g.rejectOrder(time.Now(), s)
 		case <-t.C:
 			now := time.Now()
 			g.tick(now)
+			g.updateOrders(ctx, now)
 			g.recordUsage(ctx, now)
 			g.saveParts(ctx, now)
 		}
@@ -358,6 +392,7 @@
 			p.Tick(now)
 		}
 	}
+	g.places.tick(now)
 	for c := range collectionCount {
 		if g.mirrors[c].Expire(now) {
 			g.activate(now, c, "expiry")
@@ -368,6 +403,11 @@
 		g.publishConfig()
 		g.declareReady()
 	}
+	if !g.caughtUp && g.mayServe(now) {
+		g.caughtUp = true
+		g.publishConfig()
+		g.declareReady()
+	}
 	if g.quarantine.TakeUrgent() {
 		g.fleet.Hasten()
 	}
@@ -421,14 +461,19 @@
 	if g.watch.proven(now) && g.mirrors[c].Synced() && now.Sub(g.behindSince[c]) < fetchDelay+batchPause[c]*2 {
 		return
 	}
-	if !g.fetches[c].start(now, m.Name) {
-		return
-	}
-	address := m.Address
 	since := core.Revision(0)
 	if g.mirrors[c].Synced() {
 		since = g.mirrors[c].Revision()
 	}
+	g.fetch(ctx, now, c, m, since)
+}
+
+// fetch fetches another instance's copy of a collection, or the changes after a revision, and reports whether it has begun to.
+func (g *Gateway) fetch(ctx context.Context, now time.Time, c Collection, m fleet.Member, since core.Revision) bool {
+	if !g.fetches[c].start(now, m.Name) {
+		return false
+	}
+	address := m.Address
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
@@ -445,6 +490,7 @@
 		case <-ctx.Done():
 		}
 	}()
+	return true
 }
 
 // applyUpdate applies changes of a collection.
@@ -453,15 +499,23 @@
 		g.fetches[u.collection].end(core.InstanceID(u.source))
 		g.behindSince[u.collection] = time.Time{}
 		if u.rev == 0 { // the copy could not be fetched
+			g.keptSeen[u.collection] = 0
 			return
 		}
 	}
+	g.copied[u.collection] = g.copied[u.collection] || u.source != storeSource
 	m := g.mirrors[u.collection]
-	last := m.LastChange()
+	last, era, synced := m.LastChange(), m.Revision().Era(), m.Synced()
+	kept, _ := m.Kept()
 	// A process that has just started has not seen the outage that the marks of others show.
 	u.afterOutage = u.afterOutage || u.source == storeSource && m.HasMissing() && now.Sub(g.start) < recoveryPeriod
 	changed := u.apply(now, m, g.identified(u))
 	g.revisions[u.collection].Store(int64(m.Revision()))
+	g.era.Store(max(g.era.Load(), int64(m.Revision().Era())))
+	g.watch.enter(m.Revision().Era())
+	if synced && m.Revision().Era() > era {
+		g.beginEra(u, era)
+	}
 	switch {
 	case changed:
 		g.behindSince[u.collection] = time.Time{}
@@ -470,6 +524,10 @@
 	case m.LastChange() > last: // objects that are in doubt
 		g.publish(u.collection)
 		g.fleet.Hasten()
+	default:
+		if k, _ := m.Kept(); k != kept {
+			g.publish(u.collection)
+		}
 	}
 }
 
@@ -479,10 +537,14 @@
 	u := update{collection: c, source: source, rev: core.Revision(w.Revision), since: since, list: since == 0, complete: !w.Partial}
 	u.part = w.Partial && u.list
 	for _, it := range w.Items {
-		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Body: it.Body})
+		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Kept: core.Revision(it.Kept), Body: it.Body})
 	}
 	for _, it := range w.Gone {
-		u.items = append(u.items, mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Deleted: true})
+		gone := mirror.Item{Name: it.Name, Revision: core.Revision(it.Revision), Kept: core.Revision(it.Kept), Deleted: true}
+		if it.Kept > 0 {
+			gone.Body = it.Body
+		}
+		u.items = append(u.items, gone)
 	}
 	for _, d := range w.Missing {
 		age := min(max(milliseconds(d.Age), 0), endpointGrace)
@@ -508,13 +570,15 @@
 		g.activateEndpoints(now, items, source)
 	case Instances:
 		g.activateMembers(now, items)
+	case Rollouts:
+		g.activateOrders(now, items)
 	}
 	g.declareReady()
 }
 
 // declareReady makes the instance ready once it knows a configuration, the endpoints and the parts in quarantine.
 func (g *Gateway) declareReady() {
-	if g.table != nil && g.mirrors[Endpoints].Synced() && g.partsInForce && !g.ready.Load() {
+	if g.table != nil && g.mirrors[Endpoints].Synced() && g.partsInForce && g.caughtUp && !g.ready.Load() {
 		g.ready.Store(true)
 		g.log.Info("ready", "version", g.table.Version(), "revision", g.mirrors[Endpoints].Revision())
 	}
@@ -532,8 +596,11 @@
 		if t == nil || g.table != nil && t.Version() < g.table.Version() {
 			continue
 		}
+		if g.configBody != nil && bytes.Equal(it.Body, g.configBody) {
+			continue // written again, or listed again by a restored store
+		}
 		previous := g.table
-		g.table = t
+		g.table, g.configBody = t, it.Body
 		g.applyLimits(previous)
 		g.budgets.mu.Lock()
 		g.budgets.ledger.Configure(t.Workspaces())
@@ -586,13 +653,19 @@
 	g.skipped[Endpoints].replace(g.log, Endpoints, odd)
 	for s := range lists {
 		if g.pools[s] == nil {
-			g.pools[s] = pool.New(pool.Options{Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s)})
+			g.pools[s] = pool.New(pool.Options{
+				Centre: g.o.Settings.Centre, Seed: xxhash.Sum64String(string(g.o.Settings.Name)), Log: g.log.WithValues("service", s),
+				Limits: g.o.Limits, Keeper: g.places.id, Places: g.places.observer(s),
+			})
+			g.registerGauges(s, g.pools[s])
 		}
 	}
+	g.attachOrders(now)
 	for s, p := range g.pools {
 		p.SetEndpoints(now, lists[s])
 		if len(lists[s]) == 0 && !g.uses(s) {
 			delete(g.pools, s)
+			g.unregisterGauges(s)
 		}
 	}
 	g.client.CloseIdleExcept(func(a string) bool { return addresses[a] })
@@ -603,7 +676,7 @@
 // publishConfig passes the configuration and the pools to the goroutines that serve requests.
 func (g *Gateway) publishConfig() {
 	c := &proxy.Config{Table: g.table, Pools: make(map[route.Service]*pool.Pool, len(g.pools))}
-	if !g.mirrors[Endpoints].Synced() || !g.partsInForce {
+	if !g.mirrors[Endpoints].Synced() || !g.partsInForce || !g.caughtUp {
 		c.Table = nil
 	}
 	for s, p := range g.pools {
@@ -626,14 +699,16 @@
 	}
 	g.skipped[Instances].replace(g.log, Instances, odd)
 	g.fleet.List(now, list)
+	g.checkOwnEntry(items)
 }
 
 // register writes the entry of this instance to the store. It retries until it succeeds, and logs no errors.
 func (g *Gateway) register(ctx context.Context) {
 	s := g.o.Settings
 	for wait := minStoreBackoff; ctx.Err() == nil; wait = min(2*wait, maxStoreBackoff) {
-		err := g.o.Store.Register(ctx, InstanceEntry{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre})
+		era, err := g.o.Store.Register(ctx, InstanceEntry{Name: s.Name, Address: s.MeshAddress, Centre: s.Centre})
 		if err == nil {
+			g.registered.Store(int64(era))
 			return
 		}
 		sleep(ctx, wait)
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -18,7 +18,7 @@
 
 const (
 	// instanceWatchDuration is the duration of a watch of the list of instances, which also learn of each other from
-	// digests.
+	// digests, and of the orders, which are rare.
 	instanceWatchDuration = 10 * time.Second
 	// startDelay is how long a watcher waits after its start for another instance's copy before it calls the store.
 	startDelay = 150 * time.Millisecond
@@ -36,7 +36,7 @@
 
 // batchPause is the mean pause between two watches of a collection, in which changes accumulate: calls to the store are
 // limited, and heartbeats of endpoints may cause many changes.
-var batchPause = []time.Duration{Configurations: 0, Endpoints: 200 * time.Millisecond, Instances: 200 * time.Millisecond}
+var batchPause = []time.Duration{Configurations: 0, Endpoints: 200 * time.Millisecond, Instances: 200 * time.Millisecond, Rollouts: 200 * time.Millisecond}
 
 // maxPause returns the longest pause between two watches of a collection.
 func maxPause(c Collection) time.Duration { return batchPause[c] * 3 / 2 }
@@ -98,9 +98,12 @@
 	sleep(ctx, startDelay)
 	for ctx.Err() == nil {
 		if rev := core.Revision(w.mirrorRevision.Load()); rev > w.rev {
+			w.noticeEra(time.Now(), rev)
 			w.rev, w.sent, w.hasBaseline = rev, rev, true
 		}
-		if w.hasBaseline && w.outageStart.IsZero() && !w.watch.watches() {
+		// Only those that watch the store read orders there, the others copies.
+		if (w.hasBaseline && w.outageStart.IsZero() || w.collection == Rollouts) && !w.watch.watches() {
+			w.endOutage()
 			w.watch.await(ctx, w.collection)
 			continue
 		}
@@ -137,6 +140,14 @@
 	}
 }
 
+// endOutage ends an outage that this instance no longer watches, as one that does not read a collection does not lack it.
+func (w *storeWatcher) endOutage() {
+	if !w.outageStart.IsZero() {
+		w.outageStart = time.Time{}
+		w.watch.unreadable.Add(-1)
+	}
+}
+
 // fetch makes one call to the store and forwards the result.
 func (w *storeWatcher) fetch(ctx context.Context) error {
 	start := time.Now()
@@ -152,7 +163,8 @@
 		}
 		return err
 	}
-	w.watch.answered(w.collection, maxPause(w.collection))
+	w.watch.answered(w.collection, u.rev.Era(), maxPause(w.collection))
+	w.noticeEra(now, u.rev)
 	if !w.outageStart.IsZero() && w.wasAway(now) {
 		w.outageEnd = now
 	}
@@ -169,6 +181,14 @@
 	return nil
 }
 
+// noticeEra takes the begin of a new era of the store for the end of an outage: entries that were lost, or expired meanwhile, are written
+// again.
+func (w *storeWatcher) noticeEra(now time.Time, rev core.Revision) {
+	if w.rev > 0 && rev.Era() > w.rev.Era() {
+		w.outageEnd = now
+	}
+}
+
 // wasAway reports whether the store may have been away for minOutage before it answered now. A watch is silent for as long as there
 // are no changes, so that the store may have been away since it was sent. That its connection alone was silent is proved only by
 // other calls that the store answered meanwhile: the next answer does not show what was before it.
@@ -182,7 +202,11 @@
 	if w.hasBaseline {
 		wait = w.watchDuration(time.Now())
 		w.watch.called(w.collection, wait)
-		u.items, u.rev, err = w.store.Watch(ctx, w.collection, w.rev, wait)
+		watchCtx, release := w.watch.inEra(ctx, w.rev.Era())
+		u.items, u.rev, err = w.store.Watch(watchCtx, w.collection, w.rev, wait)
+		if ended := release(); ended && ctx.Err() == nil {
+			err = ErrHistoryDropped
+		}
 		u.since, u.part = w.sent, !allIdentified(u.items)
 		if err != nil || !w.mustList(u.items) {
 			return u, wait, err
@@ -218,9 +242,9 @@
 	return !slices.ContainsFunc(changes, func(it mirror.Item) bool { return !it.Identified() })
 }
 
-// watchDuration returns the duration of the next watch. The list of instances is watched for instanceWatchDuration.
+// watchDuration returns the duration of the next watch. The list of instances and the orders are watched for instanceWatchDuration.
 func (w *storeWatcher) watchDuration(now time.Time) time.Duration {
-	if w.collection == Instances {
+	if w.collection == Instances || w.collection == Rollouts {
 		return instanceWatchDuration
 	}
 	return fleet.WatchDuration(now, int(w.watch.index.Load()), w.watch.claimed(now, w.collection))
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -132,6 +132,8 @@
 	ReserveTrial ReserveTrial
 	// Lateness returns the longest recent delay of the process, in which it did not run or was busy; default 0.
 	Lateness func() time.Duration
+	// Places decides which endpoints requests get; default: the pool of each service.
+	Places Places
 	// MaxBuffered limits the bytes that the bodies of all requests and responses occupy at once; 0 for no limit.
 	MaxBuffered int64
 }
@@ -146,6 +148,7 @@
 	stats          stats
 	memory         bodyMemory
 	probes         crashProbes
+	timeouts       routeTimeouts
 }
 
 // New returns a Handler.
@@ -153,6 +156,9 @@
 	if o.Lateness == nil {
 		o.Lateness = func() time.Duration { return 0 }
 	}
+	if o.Places == nil {
+		o.Places = poolPlaces{}
+	}
 	h := &Handler{o: o, stats: newStats(o.Metrics), memory: bodyMemory{limit: o.MaxBuffered}}
 	h.shutdown.init()
 	metrics.NewRegisteredFunctionalGauge("bodies.bytes", o.Metrics, h.memory.used.Load)
@@ -202,8 +208,10 @@
 	quotaUsed, quotaAllowed float64
 
 	arrived, deadline time.Time
-	objective         time.Time
+	objective         time.Time     // counted from the caller's first attempt
+	waited            time.Duration // how long the caller has waited before this attempt
 
+	tooLarge        int               // number of endpoints with free slots that rejected it
 	sends           int               // number of times the request was sent to an endpoint
 	possibleRuns    int               // number of endpoints that may have run it
 	tried           []core.EndpointID // endpoints to avoid in further attempts
@@ -233,6 +241,7 @@
 	statedLoad      pool.StatedLoad
 	knownLoad       int           // number of requests known to be at the endpoint when it stated its load
 	poolState       pool.State    // at the last decision of the pool
+	decider         string        // of that decision
 	retryAfter      time.Duration // in the response to the caller
 	begun           time.Duration // from the beginning of the last response that failed to its failure
 	cause           error
@@ -449,8 +458,9 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	x.waited = x.handler.timeouts.waited(x.route.Name, x.info.Timeout)
 	if x.route.Objective > 0 {
-		x.objective = x.arrived.Add(x.route.Objective)
+		x.objective = x.arrived.Add(x.route.Objective - x.waited)
 	}
 }
 
@@ -541,7 +551,7 @@
 	}
 	x.stage = stageQueue
 	start := time.Now()
-	t := x.pool.Submit(start, x.poolRequest())
+	t := x.handler.o.Places.Submit(start, x.service, x.pool, x.poolRequest())
 	defer func() { x.queueTime += time.Since(start) }()
 	select {
 	case d := <-t.Decided:
@@ -549,7 +559,7 @@
 		case *pool.Grant:
 			return x.acceptGrant(d)
 		case pool.Refusal:
-			x.poolState = d.State
+			x.poolState, x.decider = d.State, d.Decider
 			return nil, x.failOrRefuse(d.Reason, d.RetryAfter)
 		}
 	case <-x.r.Context().Done():
@@ -587,7 +597,7 @@
 
 // withdraw ends the wait for an endpoint.
 func (x *exchange) withdraw(t *pool.Ticket) {
-	if g := x.pool.Withdraw(time.Now(), t); g != nil {
+	if g := x.handler.o.Places.Withdraw(time.Now(), x.pool, t); g != nil {
 		x.pool.Release(time.Now(), g, pool.Cancelled)
 	}
 }
@@ -595,10 +605,13 @@
 // poolRequest returns the request as the pool sees it.
 func (x *exchange) poolRequest() pool.Request {
 	req := pool.Request{
-		ID: x.info.ID, Tier: x.tier(), Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived,
+		ID: x.info.ID, Tier: x.tier(), Route: x.route.Name, Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Arrived: x.arrived, Waited: x.waited,
 		Rank: int(x.route.Tier), Objective: x.objective, GapObjective: x.route.GapObjective, Deadline: x.responseDeadline(), Exclude: slices.Clone(x.tried),
 		Stream: x.route.Kind == route.Stream, Retried: x.sends > 0, Begun: x.headerWritten,
 	}
+	if x.workspace != nil {
+		req.Workspace = x.workspace.ID
+	}
 	if x.possibleRuns >= x.route.Attempts {
 		req.Only, req.Returning = slices.Clone(x.givenUp), len(x.givenUp) > 0
 	}
@@ -634,7 +647,7 @@
 
 // recordGrant keeps what a grant was based on for the log.
 func (x *exchange) recordGrant(g *pool.Grant) {
-	x.poolState, x.expectedLatency, x.endpointLoad = g.State, g.ExpectedLatency, g.RunningAtEndpoint
+	x.poolState, x.expectedLatency, x.endpointLoad, x.decider = g.State, g.ExpectedLatency, g.RunningAtEndpoint, g.Decider
 }
 
 // failOrRefuse ends a request that is not sent to a further endpoint: with an error if an endpoint may have run it, else
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -4,6 +4,123 @@
 
 import "encoding/json"
 
+// Answer decides an ask: Endpoint is granted, or Reason says why the request is
+// refused, with the milliseconds after which to return in Retry, or another keeper
+// is to be asked, or, if none of them is given, the asker decides itself. First
+// and Last are the expected milliseconds to the first and last event, Running the
+// requests at the endpoint, Ahead the prompt tokens that it reads first. Waiting,
+// Free, Slots, Peers and Oldest describe the keeper's pool.
+type Answer struct {
+	// Ahead corresponds to the JSON schema field "ahead".
+	Ahead int `json:"ahead,omitempty,omitzero"`
+
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint string `json:"endpoint,omitempty,omitzero"`
+
+	// First corresponds to the JSON schema field "first".
+	First int `json:"first,omitempty,omitzero"`
+
+	// Free corresponds to the JSON schema field "free".
+	Free int `json:"free,omitempty,omitzero"`
+
+	// Keeper corresponds to the JSON schema field "keeper".
+	Keeper *Keeper `json:"keeper,omitempty,omitzero"`
+
+	// Last corresponds to the JSON schema field "last".
+	Last int `json:"last,omitempty,omitzero"`
+
+	// Number corresponds to the JSON schema field "number".
+	Number int `json:"number"`
+
+	// Oldest corresponds to the JSON schema field "oldest".
+	Oldest int `json:"oldest,omitempty,omitzero"`
+
+	// Peers corresponds to the JSON schema field "peers".
+	Peers int `json:"peers,omitempty,omitzero"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// Retry corresponds to the JSON schema field "retry".
+	Retry int `json:"retry,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots,omitempty,omitzero"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
+// Ask asks for a place for a request of a service, at an endpoint of one of Groups
+// groups. Age, Waited (by its caller before it came here), Objective, Deadline and
+// Gap are in milliseconds; Objective and Deadline count from the arrival. Final
+// tells that another data centre has sent the asker here. Avoid has endpoints that
+// are not to be granted.
+type Ask struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Avoid corresponds to the JSON schema field "avoid".
+	Avoid []string `json:"avoid,omitempty,omitzero"`
+
+	// Deadline corresponds to the JSON schema field "deadline".
+	Deadline int `json:"deadline,omitempty,omitzero"`
+
+	// Final corresponds to the JSON schema field "final".
+	Final bool `json:"final,omitempty,omitzero"`
+
+	// Gap corresponds to the JSON schema field "gap".
+	Gap int `json:"gap,omitempty,omitzero"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group int `json:"group,omitempty,omitzero"`
+
+	// Groups corresponds to the JSON schema field "groups".
+	Groups int `json:"groups,omitempty,omitzero"`
+
+	// Number corresponds to the JSON schema field "number".
+	Number int `json:"number"`
+
+	// Objective corresponds to the JSON schema field "objective".
+	Objective int `json:"objective,omitempty,omitzero"`
+
+	// Output corresponds to the JSON schema field "output".
+	Output int `json:"output,omitempty,omitzero"`
+
+	// Prompt corresponds to the JSON schema field "prompt".
+	Prompt int `json:"prompt,omitempty,omitzero"`
+
+	// Rank corresponds to the JSON schema field "rank".
+	Rank int `json:"rank,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request,omitempty,omitzero"`
+
+	// Retried corresponds to the JSON schema field "retried".
+	Retried bool `json:"retried,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Stream corresponds to the JSON schema field "stream".
+	Stream bool `json:"stream,omitempty,omitzero"`
+
+	// Tier corresponds to the JSON schema field "tier".
+	Tier int `json:"tier,omitempty,omitzero"`
+
+	// Unstalled corresponds to the JSON schema field "unstalled".
+	Unstalled bool `json:"unstalled,omitempty,omitzero"`
+
+	// Waited corresponds to the JSON schema field "waited".
+	Waited int `json:"waited,omitempty,omitzero"`
+
+	// Workspace corresponds to the JSON schema field "workspace".
+	Workspace string `json:"workspace,omitempty,omitzero"`
+}
+
 // Copy is an instance's copy of a collection as of Revision. If Partial, Items are
 // those that changed after the revision that was asked for, and Gone those that
 // were removed; if none was asked for, Items are those that the instance could
@@ -49,15 +166,18 @@
 // Digest is the state of an instance. Start is the time at which its process
 // started, in Unix milliseconds; Number counts its digests. Routes, Entries and
 // Members are the revisions of its configuration, its list of endpoints and its
-// list of instances. Blind tells that its last call to the store has failed,
-// Watching that it watches the store for all and that the store answers it. Used
-// is the units that the sender has used for each workspace since its start; Total
-// is those of all instances in the last window, as far as it knows. Centre is the
-// sender's data centre; Every is the number of milliseconds until its next digest.
-// Far are the summaries of other data centres that the sender has received since
-// the last digest. A digest with a summary of the sender's own data centre is for
-// instances of other data centres. Crashes are those of endpoints with requests of
-// the sender, Parts those in quarantine or released lately.
+// list of instances; Kept, if not empty, has for each of these the highest Kept of
+// its items. Era is the latest era of the store that the sender knows. Blind tells
+// that its last call to the store has failed, Watching that it watches the store
+// for all and that the store answers it. Used is the units that the sender has
+// used for each workspace since its start; Total is those of all instances in the
+// last window, as far as it knows. Centre is the sender's data centre; Every is
+// the number of milliseconds until its next digest. Far are the summaries of other
+// data centres that the sender has received since the last digest. A digest with a
+// summary of the sender's own data centre is for instances of other data centres.
+// Crashes are those of endpoints with requests of the sender, Parts those in
+// quarantine or released lately. Power is the power of the sender's processor, in
+// thousandths of a core, if it may be a keeper; else 0.
 type Digest struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -74,6 +194,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// Era corresponds to the JSON schema field "era".
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Every corresponds to the JSON schema field "every".
 	Every int `json:"every,omitempty,omitzero"`
 
@@ -83,6 +206,9 @@
 	// From corresponds to the JSON schema field "from".
 	From string `json:"from"`
 
+	// Kept corresponds to the JSON schema field "kept".
+	Kept []int `json:"kept,omitempty,omitzero"`
+
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
@@ -92,12 +218,21 @@
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders int `json:"orders,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "parts".
 	Parts []Part `json:"parts,omitempty,omitzero"`
 
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
+	// Power corresponds to the JSON schema field "power".
+	Power int `json:"power,omitempty,omitzero"`
+
+	// Rollouts corresponds to the JSON schema field "rollouts".
+	Rollouts []Rollout `json:"rollouts,omitempty,omitzero"`
+
 	// Routes corresponds to the JSON schema field "routes".
 	Routes int `json:"routes,omitempty,omitzero"`
 
@@ -135,12 +270,75 @@
 	Revision int `json:"revision"`
 }
 
+// Ended has the numbers of asks of a service whose places are free after the
+// request was served, or without that, and of those whose responses began.
+type Ended struct {
+	// Began corresponds to the JSON schema field "began".
+	Began []int `json:"began,omitempty,omitzero"`
+
+	// Served corresponds to the JSON schema field "served".
+	Served []int `json:"served,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Unserved corresponds to the JSON schema field "unserved".
+	Unserved []int `json:"unserved,omitempty,omitzero"`
+}
+
+// Endpoint is what an instance believes about the load of an endpoint: the
+// requests that are sent there at once (Limit, for the reason Why), those known
+// there, and its speed as a percentage of the usual one. Running and Waiting are
+// what the endpoint stated Age milliseconds ago; Age is -1 if it has stated
+// nothing.
+type Endpoint struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Known corresponds to the JSON schema field "known".
+	Known int `json:"known"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit int `json:"limit"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots"`
+
+	// Speed corresponds to the JSON schema field "speed".
+	Speed int `json:"speed"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting,omitempty,omitzero"`
+
+	// Why corresponds to the JSON schema field "why".
+	Why string `json:"why"`
+}
+
+type Endpoints struct {
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
 // Item is an object of a collection. Body is its content as it stands in the
-// store.
+// store. If Kept is not 0, the store was restored from a copy with an older
+// content, or with an object that was removed, and Kept is the revision that Body,
+// or the removal, had before.
 type Item struct {
 	// Body corresponds to the JSON schema field "body".
 	Body json.RawMessage `json:"body"`
 
+	// Kept corresponds to the JSON schema field "kept".
+	Kept int `json:"kept,omitempty,omitzero"`
+
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name"`
 
@@ -148,6 +346,75 @@
 	Revision int `json:"revision"`
 }
 
+// Keeper is the instance that grants the places of a group of the endpoints of a
+// service in a data centre, and when its process started, in Unix milliseconds.
+type Keeper struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Centre corresponds to the JSON schema field "centre".
+	Centre string `json:"centre,omitempty,omitzero"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group int `json:"group,omitempty,omitzero"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start int `json:"start"`
+}
+
+// Order is the state of an order at an instance, for operators. Share is in
+// millionths; Requests and Exposed count what the instance has sent to the service
+// and to the version, Responses and Bad what the fleet has seen of the version.
+type Order struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Bad corresponds to the JSON schema field "bad".
+	Bad int `json:"bad,omitempty,omitzero"`
+
+	// Duration corresponds to the JSON schema field "duration".
+	Duration int `json:"duration,omitempty,omitzero"`
+
+	// Exposed corresponds to the JSON schema field "exposed".
+	Exposed int `json:"exposed,omitempty,omitzero"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests,omitempty,omitzero"`
+
+	// Responses corresponds to the JSON schema field "responses".
+	Responses int `json:"responses,omitempty,omitzero"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes []Verdict `json:"routes,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Share corresponds to the JSON schema field "share".
+	Share int `json:"share,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State string `json:"state"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target"`
+
+	// Verdict corresponds to the JSON schema field "verdict".
+	Verdict string `json:"verdict,omitempty,omitzero"`
+}
+
+// Orders lists the orders that an instance knows.
+type Orders struct {
+	// Orders corresponds to the JSON schema field "orders".
+	Orders []Order `json:"orders,omitempty,omitzero"`
+}
+
 // Part is a part of prompts that is in quarantine, or has been released. Crashes
 // and Requests are the numbers of crashes and of requests under them that led to
 // the quarantine, Trials the requests that were sent in spite of it, and Idle the
@@ -191,6 +458,41 @@
 	Parts []Part `json:"parts"`
 }
 
+// Places is a message between a keeper and another instance. Start is the start of
+// the sender's process. Waiting has the numbers of the receiver's asks that wait
+// at the sender, Withdrawn those of the sender's that are to be dropped.
+type Places struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Answers corresponds to the JSON schema field "answers".
+	Answers []Answer `json:"answers,omitempty,omitzero"`
+
+	// Asks corresponds to the JSON schema field "asks".
+	Asks []Ask `json:"asks,omitempty,omitzero"`
+
+	// Centre corresponds to the JSON schema field "centre".
+	Centre string `json:"centre"`
+
+	// Ended corresponds to the JSON schema field "ended".
+	Ended []Ended `json:"ended,omitempty,omitzero"`
+
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from"`
+
+	// Rooms corresponds to the JSON schema field "rooms".
+	Rooms []Room `json:"rooms,omitempty,omitzero"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start int `json:"start"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting []int `json:"waiting,omitempty,omitzero"`
+
+	// Withdrawn corresponds to the JSON schema field "withdrawn".
+	Withdrawn []int `json:"withdrawn,omitempty,omitzero"`
+}
+
 // Pool is the sender's load at the endpoints of one service. Endpoints, Running
 // and Reading have an entry for each endpoint with load: its id, the requests in
 // progress, and the prompt tokens that it has not read. Waiting has the number of
@@ -198,12 +500,21 @@
 // others. Seen, Ahead and First have an entry for each response that began since
 // the last digest: the endpoint, the prompt tokens that it had to read, and the
 // milliseconds until the response began. Pace, if not empty, has the percentage of
-// the usual time that work took there, 0 if the endpoint did not state it. Failed
-// has the endpoint of each request since then that an endpoint broke.
+// the usual time that work took there, 0 if the endpoint did not state it; Stated,
+// if not empty, the number of requests there that it stated, 0 if it did not. Ran,
+// Beside and Took have an entry for each request that ended since the last digest:
+// the endpoint, the requests there including this one, and the microseconds
+// between two events of a stream, or of the whole response, at an endpoint where
+// work takes the usual time. Failed has the endpoint of each request since then
+// that an endpoint broke. Kept and Keepers, if not empty, have an entry for each
+// endpoint with load: the requests under grants of a keeper, and its id.
 type Pool struct {
 	// Ahead corresponds to the JSON schema field "ahead".
 	Ahead []int `json:"ahead,omitempty,omitzero"`
 
+	// Beside corresponds to the JSON schema field "beside".
+	Beside []int `json:"beside,omitempty,omitzero"`
+
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []string `json:"endpoints,omitempty,omitzero"`
 
@@ -213,12 +524,21 @@
 	// First corresponds to the JSON schema field "first".
 	First []int `json:"first,omitempty,omitzero"`
 
+	// Keepers corresponds to the JSON schema field "keepers".
+	Keepers []int `json:"keepers,omitempty,omitzero"`
+
+	// Kept corresponds to the JSON schema field "kept".
+	Kept []int `json:"kept,omitempty,omitzero"`
+
 	// Late corresponds to the JSON schema field "late".
 	Late int `json:"late,omitempty,omitzero"`
 
 	// Pace corresponds to the JSON schema field "pace".
 	Pace []int `json:"pace,omitempty,omitzero"`
 
+	// Ran corresponds to the JSON schema field "ran".
+	Ran []string `json:"ran,omitempty,omitzero"`
+
 	// Reading corresponds to the JSON schema field "reading".
 	Reading []int `json:"reading,omitempty,omitzero"`
 
@@ -231,6 +551,12 @@
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
+	// Stated corresponds to the JSON schema field "stated".
+	Stated []int `json:"stated,omitempty,omitzero"`
+
+	// Took corresponds to the JSON schema field "took".
+	Took []int `json:"took,omitempty,omitzero"`
+
 	// Waiting corresponds to the JSON schema field "waiting".
 	Waiting []int `json:"waiting,omitempty,omitzero"`
 }
@@ -263,6 +589,64 @@
 
 type RecordSlices map[string][]float64
 
+// Rollout is what the sender knows of an order to move a service to another
+// version, which was given Age milliseconds ago. Step numbers the decisions on
+// Share, in millionths of the requests; Since is the milliseconds since the sender
+// has heard it from who decides. Bad tells that the version is not to be used.
+// Routes is what was seen since the order.
+type Rollout struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age,omitempty,omitzero"`
+
+	// Bad corresponds to the JSON schema field "bad".
+	Bad bool `json:"bad,omitempty,omitzero"`
+
+	// Order corresponds to the JSON schema field "order".
+	Order string `json:"order"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes []Seen `json:"routes,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Share corresponds to the JSON schema field "share".
+	Share int `json:"share,omitempty,omitzero"`
+
+	// Since corresponds to the JSON schema field "since".
+	Since int `json:"since,omitempty,omitzero"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step,omitempty,omitzero"`
+}
+
+// Room is the number of free places in the sender's data centre, less the requests
+// that wait for one.
+type Room struct {
+	// Free corresponds to the JSON schema field "free".
+	Free int `json:"free"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group int `json:"group,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
+// Seen counts the responses on a route, of the version that is asked for and of
+// the others. Each list has, for each group of endpoints, the responses that
+// began, those that began late, those that ended, and those that were failures.
+type Seen struct {
+	// Others corresponds to the JSON schema field "others".
+	Others []int `json:"others"`
+
+	// Route corresponds to the JSON schema field "route".
+	Route string `json:"route"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target []int `json:"target"`
+}
+
 // Summary is the state of a data centre, as the instance From sums it up. Heard
 // and Running count its instances that are heard and that may be running; Silent
 // are those that are listed but not heard. Watching are the first that watch the
@@ -270,7 +654,7 @@
 // version that took instances which had not read the store for able to. Young
 // tells that one has started recently. Pools, Used and Total are as in a digest,
 // for the whole data centre; Age is the mean age of the loads in milliseconds.
-// Crashes and Parts are as in a digest.
+// Crashes and Parts are as in a digest. Keepers are those of the data centre.
 type Summary struct {
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
@@ -287,6 +671,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// Era corresponds to the JSON schema field "era".
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Every corresponds to the JSON schema field "every".
 	Every int `json:"every,omitempty,omitzero"`
 
@@ -296,18 +683,30 @@
 	// Heard corresponds to the JSON schema field "heard".
 	Heard int `json:"heard,omitempty,omitzero"`
 
+	// Keepers corresponds to the JSON schema field "keepers".
+	Keepers []Keeper `json:"keepers,omitempty,omitzero"`
+
+	// Kept corresponds to the JSON schema field "kept".
+	Kept []int `json:"kept,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members int `json:"members,omitempty,omitzero"`
 
 	// Number corresponds to the JSON schema field "number".
 	Number int `json:"number"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders int `json:"orders,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "parts".
 	Parts []Part `json:"parts,omitempty,omitzero"`
 
 	// Pools corresponds to the JSON schema field "pools".
 	Pools []Pool `json:"pools,omitempty,omitzero"`
 
+	// Rollouts corresponds to the JSON schema field "rollouts".
+	Rollouts []Rollout `json:"rollouts,omitempty,omitzero"`
+
 	// Routes corresponds to the JSON schema field "routes".
 	Routes int `json:"routes,omitempty,omitzero"`
 
@@ -339,3 +738,18 @@
 type SummaryTotal map[string]float64
 
 type SummaryUsed map[string]float64
+
+// Verdict is how an instance judges a version on a route.
+type Verdict struct {
+	// Bad corresponds to the JSON schema field "bad".
+	Bad int `json:"bad"`
+
+	// Responses corresponds to the JSON schema field "responses".
+	Responses int `json:"responses"`
+
+	// Route corresponds to the JSON schema field "route".
+	Route string `json:"route"`
+
+	// Verdict corresponds to the JSON schema field "verdict".
+	Verdict string `json:"verdict"`
+}
