--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -87,6 +87,7 @@
 	p.updateLimits(now)
 	p.unreportedRequests = -1
 	p.selectActive(now)
+	p.restricted = p.restricts()
 	p.keeping = slices.ContainsFunc(p.queue, func(t *Ticket) bool { return t.ask != nil })
 	p.admission.drain = p.drainRate(now)
 	recent := now.Sub(p.lastAsks) < askInterval
@@ -98,16 +99,15 @@
 	var newlyLate []*Ticket
 	kept := p.queue[:0]
 	onTimeBefore := 0 // requests earlier in the queue that can still be on time
-	for i, t := range p.queue {
-		if recent && taken && p.full(now) {
-			kept = append(kept, p.queue[i:]...)
-			complete = false
-			break
-		}
-		taken = false
+	for _, t := range p.queue {
 		decide := p.decide
 		if t.ask != nil {
-			decide = p.decideAsk
+			if recent && taken && p.full(now) {
+				kept = append(kept, t)
+				complete = false
+				continue
+			}
+			decide, taken = p.decideAsk, false
 		}
 		switch d := decide(now, t).(type) {
 		case nil:
--- a/core/pool/endpoint.go
+++ b/core/pool/endpoint.go
@@ -63,13 +63,13 @@
 	ownRunning      int         // requests of this instance
 	pendingPrompt   core.Tokens // prompt tokens of this instance's requests without a first event
 	peerLoad        peerLoad
-	unknown         int         // see statedLoad.unknownAt, as of the last updateLimits
-	reportedRunning int         // value of ownRunning in this instance's last report
-	lent            int         // requests of others under grants of this instance, which peerLoad lacks
-	lentPrompt      core.Tokens // prompt tokens of these without a first event
-	keeper          KeeperID    // that has granted the last place here to this instance; 0 if none has
-	kept            int         // requests of this instance under its grants
-	hash            uint64      // of the id
+	unknown         int              // see statedLoad.unknownAt, as of the last updateLimits
+	reportedRunning int              // value of ownRunning in this instance's last report
+	lent            int              // requests of others under grants of this instance, which peerLoad lacks
+	lentPrompt      core.Tokens      // prompt tokens of these without a first event
+	keeper          KeeperID         // that has granted the last place here to this instance; 0 if none has
+	kept            map[KeeperID]int // requests of this instance under the grants of keepers
+	hash            uint64           // of the id
 	scoreOffset     time.Duration
 
 	stated        slowness
@@ -135,7 +135,7 @@
 }
 
 // freeSlots returns the number of slots that no known request uses.
-func (e *endpointState) freeSlots() int { return e.Slots - e.totalRunning() }
+func (e *endpointState) freeSlots() int { return e.capacity() - e.totalRunning() }
 
 // available reports whether the endpoint may get a request now. After a suspension it gets one request at a time, the
 // probe, until one succeeds. The exception is the suspension after Moved, which is not counted and needs no probe.
--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -343,6 +343,9 @@
 	if !now.Before(t.req.Deadline) {
 		return Refusal{RetryAfter: minRetryAfter, Reason: "deadline"}
 	}
+	if p.restricted { // each instance draws and counts its own requests
+		return Redirect{}
+	}
 	var rooms []core.DataCentre
 	if !t.ask.Final {
 		rooms = p.openRooms(now)
@@ -417,6 +420,13 @@
 	}
 }
 
+// Closed reports whether a ticket was decided or withdrawn.
+func (p *Pool) Closed(t *Ticket) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return t.closed
+}
+
 // Decide ends an open ticket with a decision. It reports false if the ticket was withdrawn.
 func (p *Pool) Decide(t *Ticket, d Decision) bool {
 	p.mu.Lock()
@@ -469,17 +479,18 @@
 		return Late
 	}
 	e := p.endpoints[k.Endpoint]
-	if e == nil || !e.available(now) && !(e.accepts(now) && e.suspicion != proven) {
+	if p.restricts() || e == nil || !e.available(now) && !(e.accepts(now) && e.suspicion != proven) {
 		return Unfit
 	}
 	t.closed = true
 	g := p.grant(now, e, t)
 	g.ExpectedLatency, g.ExpectedDuration, g.RunningAtEndpoint, g.State = k.ExpectedLatency, k.ExpectedDuration, k.RunningAtEndpoint, k.State
 	g.promptBacklog, g.place, g.Decider = max(k.Backlog, t.req.Prompt), k.Place, "keeper"
-	if e.keeper != k.Place.Keeper {
-		e.keeper, e.kept = k.Place.Keeper, 0
+	if e.kept == nil {
+		e.kept = map[KeeperID]int{}
 	}
-	e.kept++
+	e.keeper = k.Place.Keeper
+	e.kept[e.keeper]++
 	t.Decided <- g
 	return Adopted
 }
@@ -489,8 +500,10 @@
 	if g.place == (PlaceID{}) {
 		return
 	}
-	if e := g.endpointState; e.keeper == g.place.Keeper {
-		e.kept--
+	if e := g.endpointState; e.kept[g.place.Keeper] > 1 {
+		e.kept[g.place.Keeper]--
+	} else {
+		delete(e.kept, g.place.Keeper)
 	}
 	p.o.Places.PlaceFreed(g.place, served)
 }
--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -85,8 +85,8 @@
 
 // ownLoad returns the load of this instance at an endpoint.
 func (e *endpointState) ownLoad() Load {
-	l := Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt, Kept: e.kept}
-	if e.kept > 0 {
+	l := Load{Endpoint: e.ID, Running: e.ownRunning, PendingPrompt: e.pendingPrompt, Kept: e.kept[e.keeper]}
+	if l.Kept > 0 {
 		l.Keeper = e.keeper
 	}
 	return l
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -257,6 +257,7 @@
 	// each report. chooseEndpoint uses it.
 	assumedPosition float64
 	lent            map[core.InstanceID]*originPlaces // by the sender of the reports that show their requests
+	restricted      bool                              // see restricts; as of the present call of assign
 	keeping         bool                              // asks are queued, see Lend; as of the present call of assign
 	lastAsks        time.Time                         // when assign last went through the whole queue, asks included
 	rooms           map[core.DataCentre]*room         // in the other data centres
--- a/core/pool/rollout.go
+++ b/core/pool/rollout.go
@@ -81,6 +81,13 @@
 	return r, true
 }
 
+// Restricts reports whether an order keeps requests from some of the listed endpoints.
+func (p *Pool) Restricts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.restricts()
+}
+
 // restricts reports whether an order keeps requests from some of the listed endpoints.
 func (p *Pool) restricts() bool {
 	if p.rollout == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -663,6 +663,7 @@
 	g.attachOrders(now)
 	for s, p := range g.pools {
 		p.SetEndpoints(now, lists[s])
+		g.places.drainPool(now, s, p) // before it may be removed
 		if len(lists[s]) == 0 && !g.uses(s) {
 			delete(g.pools, s)
 			g.unregisterGauges(s)
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -34,6 +35,12 @@
 	maxAskTries = 3
 	// maxAskAge bounds the times that an ask states.
 	maxAskAge = time.Hour
+	// maxItems is the number of asks, answers and waiting asks in a message, which must fit into a datagram.
+	maxItems = 100
+	// maxTickGap is the time between two ticks above which this process was late itself.
+	maxTickGap = 20 * time.Millisecond
+	// pendingMargin is how long after the deadline of its request an ask is forgotten, if no decision has come.
+	pendingMargin = time.Second
 	// maxPendingAsks bounds the asks that wait at a keeper. Those beyond it are decided by their holders.
 	maxPendingAsks = 20000
 )
@@ -82,10 +89,12 @@
 	pool    *pool.Pool
 	ticket  *pool.Ticket // nil until it is queued
 	address string       // of the holder; empty for this instance
+	expires time.Time    // after the deadline of the request
 }
 
 // outgoing is a message that is sent when it is due.
 type outgoing struct {
+	address string
 	message wire.Places
 	due     time.Time
 }
@@ -117,6 +126,8 @@
 
 	// Only the control goroutine uses these.
 	lastSigns, lastRooms time.Time
+	lastTick             time.Time
+	sealed               []*outgoing // messages that are full, and to be sent now
 }
 
 func newKeptPlaces(g *Gateway) *keptPlaces {
@@ -283,6 +294,9 @@
 	case c.centre != k.g.o.Settings.Centre:
 		timeout = places.FarAckTimeout
 	}
+	if h.pool.Closed(h.ticket) { // withdrawn between two asks
+		return
+	}
 	k.mu.Lock()
 	number := k.asker.Begin(now, c.name, timeout, h)
 	h.number, h.keeper = number, c
@@ -328,7 +342,7 @@
 		k.mu.Unlock()
 		return
 	}
-	k.pending[a.ID] = &pendingAsk{pool: p, address: address}
+	k.pending[a.ID] = &pendingAsk{pool: p, address: address, expires: req.Deadline.Add(pendingMargin)}
 	k.mu.Unlock()
 	t := p.Lend(now, a, req)
 	k.mu.Lock()
@@ -352,29 +366,34 @@
 // drain passes on what the pools of this instance have decided.
 func (k *keptPlaces) drain(now time.Time) {
 	for s, p := range k.g.config.Load().Pools {
-		for _, d := range p.TakeDecided() {
-			k.mu.Lock()
-			e := k.pending[d.ID]
-			delete(k.pending, d.ID)
-			k.mu.Unlock()
-			g, granted := d.Decision.(*pool.Grant)
-			switch {
-			case d.Own:
-				k.decided(now, p, d)
-			case e == nil && granted: // withdrawn
-				p.LentFreed(now, d.Origin, d.ID, false)
-			case e != nil:
-				if granted {
-					k.count("lent")
-					k.add(now, e.address, 0, func(m *wire.Places) { m.Answers = append(m.Answers, encodeGrant(d.ID, g)) })
-				} else {
-					w := k.encodeDecision(placesKey{s, d.Group}, d)
-					k.add(now, e.address, 0, func(m *wire.Places) { m.Answers = append(m.Answers, w) })
-				}
+		k.drainPool(now, s, p)
+	}
+	k.flush(now)
+}
+
+// drainPool passes on what a pool has decided; flush sends it.
+func (k *keptPlaces) drainPool(now time.Time, s route.Service, p *pool.Pool) {
+	for _, d := range p.TakeDecided() {
+		k.mu.Lock()
+		e := k.pending[d.ID]
+		delete(k.pending, d.ID)
+		k.mu.Unlock()
+		g, granted := d.Decision.(*pool.Grant)
+		switch {
+		case d.Own:
+			k.decided(now, p, d)
+		case e == nil && granted: // withdrawn
+			p.LentFreed(now, d.Origin, d.ID, false)
+		case e != nil:
+			if granted {
+				k.count("lent")
+				k.add(now, e.address, 0, func(m *wire.Places) { m.Answers = append(m.Answers, encodeGrant(d.ID, g)) })
+			} else {
+				w := k.encodeDecision(placesKey{s, d.Group}, d)
+				k.add(now, e.address, 0, func(m *wire.Places) { m.Answers = append(m.Answers, w) })
 			}
 		}
 	}
-	k.flush(now)
 }
 
 // decided applies the decision on an ask of this instance at its own pool.
@@ -540,7 +559,7 @@
 				k.granted(now, h)
 			case pool.Unfit:
 				h.req.Exclude = append(slices.Clone(h.req.Exclude), core.EndpointID(a.Endpoint))
-				if h.tries++; h.tries < maxAskTries {
+				if h.tries++; h.tries < maxAskTries && !h.pool.Restricts() {
 					k.ask(now, h, granter, granter.centre != k.g.o.Settings.Centre)
 				} else {
 					k.decideHere(now, h, "unfit")
@@ -581,7 +600,11 @@
 		return
 	}
 	k.mu.Lock()
-	overdue := k.asker.Overdue(now)
+	var overdue []*heldAsk
+	if now.Sub(k.lastTick) <= maxTickGap { // after a gap, answers may not have been read yet
+		overdue = k.asker.Overdue(now)
+	}
+	k.lastTick = now
 	for _, h := range overdue {
 		delete(k.byTicket, h.ticket)
 		k.tellWithdrawn(now, h) // so that no place is granted in vain
@@ -589,6 +612,10 @@
 	if now.Sub(k.lastSigns) >= places.SignInterval {
 		k.lastSigns = now
 		for id, e := range k.pending {
+			if now.After(e.expires) { // the decision went with the pool of a service that is no longer used
+				delete(k.pending, id)
+				continue
+			}
 			if e.address != "" {
 				k.addLocked(now, e.address, 0, func(m *wire.Places) { m.Waiting = append(m.Waiting, int(id.Number)) })
 			}
@@ -655,12 +682,17 @@
 	o, due := k.outbox[address], now.Add(delay)
 	if o == nil {
 		s := k.g.o.Settings
-		o = &outgoing{message: wire.Places{From: string(s.Name), Address: s.MeshAddress, Centre: string(s.Centre), Start: int(k.g.start.UnixMilli())}, due: due}
+		o = &outgoing{address: address, message: wire.Places{From: string(s.Name), Address: s.MeshAddress, Centre: string(s.Centre), Start: int(k.g.start.UnixMilli())}, due: due}
 		k.outbox[address] = o
 	} else if due.Before(o.due) {
 		o.due = due
 	}
 	change(&o.message)
+	if m := &o.message; len(m.Waiting)+len(m.Answers)+len(m.Asks) >= maxItems {
+		delete(k.outbox, address)
+		k.sealed = append(k.sealed, o)
+		signal(k.changed)
+	}
 	if delay > 0 {
 		signal(k.changed)
 	}
@@ -695,10 +727,14 @@
 			continue
 		}
 		delete(k.outbox, address)
-		if to, err := k.resolve(address); err == nil {
+		k.sealed = append(k.sealed, o)
+	}
+	for _, o := range k.sealed {
+		if to, err := k.resolve(o.address); err == nil {
 			due = append(due, message{to, &o.message})
 		}
 	}
+	k.sealed = nil
 	k.mu.Unlock()
 	for _, d := range due {
 		n, err := k.mesh.Load().SendPlaces(d.m, d.to)
@@ -717,11 +753,13 @@
 	if a := k.resolved[address]; a != nil {
 		return a, nil
 	}
-	a, err := net.ResolveUDPAddr("udp4", address)
-	if err == nil {
-		k.resolved[address] = a
+	parsed, err := netip.ParseAddrPort(address) // no names: looking them up would block
+	if err != nil {
+		return nil, err
 	}
-	return a, err
+	a := net.UDPAddrFromAddrPort(parsed)
+	k.resolved[address] = a
+	return a, nil
 }
 
 // signal sends to a channel of capacity 1 unless it is full.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -150,9 +150,6 @@
 		OnHeader:      a.recordNotice,
 		Trace:         &a.trace,
 		BeforeSend: func() error {
-			if x.callerLeft() {
-				return peerconn.ErrClosed
-			}
 			if !x.pool.Accepts(time.Now(), a.grant) {
 				return errEndpointClosed
 			}
@@ -162,8 +159,15 @@
 			if a.mayBeSecondRun() && !x.retryable() {
 				return errRunOnce
 			}
-			beforeSend()
+			// Last, as the checks before may wait for locks.
 			now := time.Now()
+			if x.callerLeft() {
+				return peerconn.ErrClosed
+			}
+			if !now.Before(x.deadline) {
+				return errDeadline
+			}
+			beforeSend()
 			a.sentAt.Store(&now)
 			return nil
 		},
@@ -359,7 +363,7 @@
 		return x.failOrRefuse(reason, shortRetryAfter), false
 	case time.Until(x.deadline) < minTimeForRetry:
 		return x.failOrRefuse("deadline", shortRetryAfter), false
-	case a.mayBeTooLarge() && x.countTooLarge() >= maxTooLarge && !x.headerWritten:
+	case x.possibleRuns == 0 && a.mayBeTooLarge() && x.countTooLarge() >= maxTooLarge && !x.headerWritten:
 		return x.failOrRefuse("larger than the memory of the endpoints", tooLargeRetryAfter), false
 	case x.possibleRuns >= x.route.Attempts && !a.canReturn():
 		return x.failOrRefuse(reason+", attempts exhausted", rejectedRetryAfter), false
