--- a/core/places/places.go
+++ b/core/places/places.go
@@ -41,13 +41,13 @@
 
 const (
 	// AckTimeout is the time for a sign of a keeper after an ask, in the own data centre, and FarAckTimeout in another one.
-	AckTimeout    = 25 * time.Millisecond
-	FarAckTimeout = 60 * time.Millisecond
+	AckTimeout    = 80 * time.Millisecond
+	FarAckTimeout = 120 * time.Millisecond
 	// SignTimeout is the time between two signs of a keeper while an ask waits there, and SignInterval how often a keeper gives one.
-	SignTimeout  = 150 * time.Millisecond
+	SignTimeout  = 300 * time.Millisecond
 	SignInterval = 50 * time.Millisecond
 	// doubtTime is how long a keeper that gives no sign is passed over, before one ask tries it.
-	doubtTime = 300 * time.Millisecond
+	doubtTime = 200 * time.Millisecond
 )
 
 // Asker follows the asks of one instance, each with a value of the caller. It is not safe for concurrent use.
