core/pool: keepers and those who adopt their grants keep to the versions of an order

The keeper's decisions (core/pool/lent.go) came in with main and chose among all endpoints, so that a version under judgement got requests past its share.

--- a/core/pool/lent.go
+++ b/core/pool/lent.go
@@ -350,10 +350,12 @@
 	var chosen *endpointState
 	var lowest time.Duration
 	usable, elsewhere := false, false
+	p.selectActive(now)
+	t.filter = p.filter(now, &t.req)
 	avoidPauses := p.askReadsWithoutPause(now, t)
 	for _, e := range p.orderedEndpoints {
 		near := e.Centre == p.o.Centre
-		if !t.ask.covers(e) || !e.available(now) || slices.Contains(t.req.Exclude, e.ID) {
+		if !t.ask.covers(e) || !e.available(now) || slices.Contains(t.req.Exclude, e.ID) || !t.allows(e) {
 			continue
 		}
 		usable = usable || near
@@ -364,7 +366,11 @@
 		if !near && !slices.Contains(rooms, e.Centre) || avoidPauses && p.interrupts(now, e, &t.req) || t.req.Unstalled && p.model.stalled(now, e) {
 			continue
 		}
-		if s := p.score(now, e, &t.req); chosen == nil || s < lowest {
+		s := p.score(now, e, &t.req)
+		if t.filter.Prefers() && !t.filter.IsTarget(e.Version) {
+			s += notTargetPenalty
+		}
+		if chosen == nil || s < lowest {
 			chosen, lowest = e, s
 		}
 	}
@@ -390,7 +396,7 @@
 		return false
 	}
 	for _, e := range p.orderedEndpoints {
-		if e.Centre == p.o.Centre && t.ask.covers(e) && e.available(now) && !p.interrupts(now, e, &t.req) {
+		if e.Centre == p.o.Centre && t.ask.covers(e) && t.allows(e) && e.available(now) && !p.interrupts(now, e, &t.req) {
 			return true
 		}
 	}
@@ -469,7 +475,10 @@
 		return Late
 	}
 	e := p.endpoints[k.Endpoint]
-	if e == nil || !e.available(now) && !(e.accepts(now) && e.suspicion != proven) {
+	if e != nil {
+		t.filter = p.filter(now, &t.req)
+	}
+	if e == nil || !t.allows(e) || !e.available(now) && !(e.accepts(now) && e.suspicion != proven) {
 		return Unfit
 	}
 	t.closed = true
