--- a/core/pool/rollout.go
+++ b/core/pool/rollout.go
@@ -13,8 +13,6 @@
 	slowRatio = 1.8
 	// minSlow is how much later than predicted a slow first event is at least, as scheduling alone may take some milliseconds.
 	minSlow = 15 * time.Millisecond
-	// notTargetPenalty is added to the score of other versions for a request that is drawn for the target.
-	notTargetPenalty = time.Minute
 )
 
 // rolloutState is what an order requires of a pool, and what was seen of the versions since.
