--- a/core/pool/admission_test.go
+++ b/core/pool/admission_test.go
@@ -183,6 +183,7 @@
 // later, could have been on time, against a refusal after half of the objective, against refusing long prompts or urgent requests first, and
 // against a Retry-After that does not hold. With -v, it prints the table of docs/design/admission.md.
 func TestAdmissionUnderLoad(t *testing.T) {
+	t.Parallel()
 	crash := admissionCluster()
 	crash.breaksRequests = func(engine int, s float64) bool { return engine%2 == 0 && s >= 4 }
 	plain := cluster{instances: 6, engines: 3, slots: 6, engineQueueLimit: 24, reportInterval: 40 * time.Millisecond, slowdowns: []float64{1}, callers: map[string]callers{"order": {patience: 1500 * time.Millisecond, plain: true}}}
