--- a/commands/check.go
+++ b/commands/check.go
@@ -136,7 +136,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("read configuration: %s: status %d", source, resp.StatusCode)
+		return nil, errors.Errorf("read configuration: %s: status %d", req.URL.Redacted(), resp.StatusCode)
 	}
 	return bounded.ReadAll(resp.Body, maxConfigurationBytes)
 }
--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -191,7 +191,9 @@
 		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
-	candidates = t.preferTarget(candidates)
+	if !t.req.Retried { // else it may have failed there
+		candidates = t.preferTarget(candidates)
+	}
 	if p.unreportedRequests < 0 {
 		p.unreportedRequests = p.unreported(now)
 	}
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -104,6 +104,8 @@
 		return 1, Running, "no endpoints of other versions"
 	case part < trustAfter && s.Others > 0:
 		return canaryPart * s.Exposure, Running, "not judged yet"
+	case part < trustAfter: // no endpoints of other versions are listed, perhaps for a moment only
+		return 1, Running, "no endpoints of other versions, not judged yet"
 	case s.Verdict.Suspect && part < doubtUntil:
 		return max(canaryPart*s.Exposure, s.Share), Running, "suspect: " + s.Verdict.String()
 	case s.Verdict.Suspect && s.Share <= canaryPart*s.Exposure+shareTolerance:
--- a/core/route/diff.go
+++ b/core/route/diff.go
@@ -77,7 +77,7 @@
 	changed("targets", describeTargets(was.Targets), describeTargets(is.Targets), "requests go to other endpoints")
 	changed("kind", was.kindText(), is.kindText(), "decides whether a request may run twice")
 	changed("timeout", was.Timeout, is.Timeout, shorter(is.Timeout > 0 && (was.Timeout == 0 || is.Timeout < was.Timeout), "longer requests get 504"))
-	changed("objective", was.Objective, is.Objective, shorter(is.Objective < was.Objective && is.Objective > 0, "requests are refused sooner when they can't be on time"))
+	changed("objective", was.Objective, is.Objective, shorter(is.Objective > 0 && (was.Objective == 0 || is.Objective < was.Objective), "requests are refused sooner when they can't be on time"))
 	changed("pause between events", was.GapObjective, is.GapObjective, "")
 	changed("tier", was.Tier, is.Tier, shorter(is.Tier > was.Tier, "its requests wait behind more others"))
 	changed("attempts", was.Attempts, is.Attempts, shorter(is.Attempts < was.Attempts, "fewer requests outlive the failure of an endpoint"))
@@ -118,6 +118,9 @@
 	if len(force) == 0 && len(next) > 0 {
 		out = append(out, Change{Text: "workspaces are added where there were none", Effect: "requests without a key get 401"})
 	}
+	if len(force) > 0 && len(next) == 0 {
+		return append(out, Change{Text: "all workspaces are removed", Effect: "no key is required any more: everyone may send"})
+	}
 	before, after := byID(force), byID(next)
 	for _, id := range slices.Sorted(maps.Keys(before)) {
 		if after[id] == nil {
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -16,6 +16,9 @@
 const (
 	// firstEra is the highest era of a store that has never been restored, as far as that can be told.
 	firstEra = 1
+	// orderGrace is how long an order to move a service to another version stays in force that a restored store lacks. Without it, the
+	// version gets requests without bound.
+	orderGrace = time.Minute
 	// copyPatience is how long after its start an instance that has read a restored store waits for another instance's copy.
 	copyPatience = time.Second
 )
@@ -46,11 +49,10 @@
 			return b.Precedes(&a) || removed && a.Incarnation != 0 && a.Incarnation == b.Incarnation && a.Sequence == b.Sequence
 		}}
 	}
-	o := mirror.Options{RestoredGrace: endpointGrace}
 	if c == Rollouts {
-		o.Grace = endpointGrace
+		return mirror.Options{Grace: endpointGrace, RestoredGrace: orderGrace}
 	}
-	return o
+	return mirror.Options{RestoredGrace: endpointGrace}
 }
 
 // beginEra records that the mirror of a collection has followed the store into a new era.
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -44,6 +44,7 @@
 
 	step       rollout.Step
 	heard      time.Time     // when the decider last confirmed the step
+	beat       int           // number of that confirmation
 	shareSince time.Time     // when the share last changed
 	final      rollout.State // decided or read, if it is final; remains if the store loses it
 	why        string        // of the last decision
@@ -71,6 +72,7 @@
 		s, o, err := g.o.Store.Order(it)
 		if err != nil {
 			odd.add(it, err.Error())
+			listed[route.Service(it.Name)] = true // the order before stays in force
 			continue
 		}
 		listed[s] = true
@@ -93,6 +95,9 @@
 func (g *Gateway) activateOrder(now time.Time, s route.Service, o rollout.Order, it mirror.Item) {
 	known := g.rollouts[s]
 	if known != nil && known.ID == o.ID {
+		if it.Revision == known.item.Revision {
+			return // its state may be that of the order before
+		}
 		known.item = it
 		if o.State == rollout.Pending && known.State != rollout.Pending || o.State != known.State {
 			g.log.Info("order state read", "service", s, "target", o.Target, "state", o.State.String(), "revision", it.Revision)
@@ -121,7 +126,7 @@
 // attachOrders passes orders to pools that do not have them yet.
 func (g *Gateway) attachOrders(now time.Time) {
 	for s, o := range g.rollouts {
-		if p := g.pools[s]; p != nil && p != o.pool {
+		if p := g.pools[s]; p != nil && p != o.pool && o.Target != "" {
 			heard, _ := g.fleet.Count(now)
 			r := g.o.Settings.Rollouts
 			o.pool, o.gate = p, rollout.NewGate(now, &o.Order, r.Exposure, r.Slack/2/float64(max(heard, 1)), r.Rollback/2)
@@ -201,6 +206,7 @@
 // decideOrder decides on an order for all instances.
 func (g *Gateway) decideOrder(ctx context.Context, now time.Time, s route.Service, o *order, r pool.RolloutReport, verdict rollout.Verdict) {
 	o.heard = now
+	o.beat++
 	state := o.final
 	if !o.final.Final() {
 		var share float64
@@ -269,7 +275,7 @@
 		}
 		w := wire.Rollout{
 			Service: string(s), Order: strconv.FormatUint(o.ID, 16), Age: int(now.Sub(o.seen).Milliseconds()), Step: o.step.Number,
-			Share: int(math.Round(o.step.Share * millionths)), Since: int(now.Sub(o.heard).Milliseconds()), Bad: o.step.Bad,
+			Share: int(math.Round(o.step.Share * millionths)), Since: int(now.Sub(o.heard).Milliseconds()), Beat: o.beat, Bad: o.step.Bad,
 		}
 		list = append(list, w)
 		last := &o.stated
@@ -305,7 +311,11 @@
 			continue
 		}
 		seen, ok := decodeSeen(w.Routes)
-		if !ok || w.Share < 0 || w.Share > millionths || w.Step < 0 || w.Age < 0 || w.Since < 0 {
+		if !ok { // what was decided counts all the same
+			g.log.Info("order evidence skipped", "instance", from.instance, "centre", from.centre, "service", s)
+			seen = nil
+		}
+		if w.Share < 0 || w.Share > millionths || w.Step < 0 || w.Age < 0 || w.Since < 0 {
 			g.log.Info("order report skipped", "instance", from.instance, "centre", from.centre, "service", s)
 			continue
 		}
@@ -324,10 +334,11 @@
 		if later := rollout.Later(o.step, stated); later != o.step {
 			o.why = "stated by " + string(from.instance) + string(from.centre)
 			g.setStep(now, s, o, later)
-			o.heard = heard
+			o.heard, o.beat = heard, w.Beat
 			g.updateGate(now, o)
-		} else if stated.Number == o.step.Number && heard.After(o.heard) {
-			o.heard = heard
+		} else if stated.Number == o.step.Number && w.Beat > o.beat {
+			// Only a further confirmation counts: each instance that passes one on would make it younger by the delay of its message.
+			o.heard, o.beat = heard, w.Beat
 		}
 	}
 }
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -88,6 +88,8 @@
 	outageStart time.Time     // when the first call of the current outage failed; zero if there is none
 	silentSince time.Time     // earliest time at which that outage may have begun
 	failures    int           // failed calls since then
+	watched     bool          // the last call that succeeded was a watch
+	dropped     int           // watches in a row that found their history dropped
 	outageEnd   time.Time     // end of the last outage of at least minOutage
 }
 
@@ -114,6 +116,9 @@
 		case errors.Is(err, ErrHistoryDropped):
 			w.log.Info("history dropped", "collection", w.collection.String(), "revision", w.rev)
 			w.hasBaseline = false
+			if w.dropped++; w.dropped > 1 { // the revision of the last list too
+				sleep(ctx, b.NextBackOff())
+			}
 		case err != nil:
 			w.failures++
 			if w.outageStart.IsZero() {
@@ -125,7 +130,12 @@
 			w.hasBaseline = w.hasBaseline && w.collection != Endpoints
 			sleep(ctx, b.NextBackOff())
 		default:
-			b.Reset()
+			if w.watched {
+				w.dropped = 0
+			}
+			if w.dropped == 0 {
+				b.Reset()
+			}
 			if !w.outageStart.IsZero() {
 				now := time.Now()
 				w.log.Info("store regained", "collection", w.collection.String(), "revision", w.rev, "away", now.Sub(w.outageStart).String())
@@ -169,7 +179,7 @@
 		w.outageEnd = now
 	}
 	u.afterOutage = !w.outageEnd.IsZero() && now.Sub(w.outageEnd) < recoveryPeriod
-	w.rev, w.hasBaseline = max(w.rev, u.rev), true
+	w.rev, w.hasBaseline, w.watched = max(w.rev, u.rev), true, !u.list
 	if len(u.items) == 0 && !u.list {
 		return nil
 	}
--- a/wire/mesh/mesh.go
+++ b/wire/mesh/mesh.go
@@ -592,8 +592,9 @@
 // Rollout is what the sender knows of an order to move a service to another
 // version, which was given Age milliseconds ago. Step numbers the decisions on
 // Share, in millionths of the requests; Since is the milliseconds since the sender
-// has heard it from who decides. Bad tells that the version is not to be used.
-// Routes is what was seen since the order.
+// has heard it from who decides, who counts its confirmations of a step in Beat.
+// Bad tells that the version is not to be used. Routes is what was seen since the
+// order.
 type Rollout struct {
 	// Age corresponds to the JSON schema field "age".
 	Age int `json:"age,omitempty,omitzero"`
@@ -601,6 +602,9 @@
 	// Bad corresponds to the JSON schema field "bad".
 	Bad bool `json:"bad,omitempty,omitzero"`
 
+	// Beat corresponds to the JSON schema field "beat".
+	Beat int `json:"beat,omitempty,omitzero"`
+
 	// Order corresponds to the JSON schema field "order".
 	Order string `json:"order"`
 
