--- a/commands/check_test.go
+++ b/commands/check_test.go
@@ -22,10 +22,15 @@
 		}
 		return path
 	}
-	const sound = `{"version": 7, "services": [{"name": "drafts"}],
- "routes": [{"name": "draft", "host": "desk.example", "path_prefix": "/draft/", "kind": "streaming", "service": "drafts", "timeout_ms": 9000, "slo_ms": 400}]}`
-	next := write("next.json", `{"version": 8, "services": [{"name": "drafts"}],
- "routes": [{"name": "draft", "host": "desk.example", "path_prefix": "/draft/", "kind": "streaming", "service": "draft", "timeout_ms": 300, "slo_ms": 400}]}`)
+	read := func(name string) string { // the adapter has the platform's names
+		b, err := os.ReadFile(filepath.Join("..", "platform", "testdata", "check", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
+	sound := read("force.json")
+	next := write("next.json", read("next.json"))
 	force := write("force.json", sound)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/objects/config/main" {
@@ -35,9 +40,7 @@
 		w.Write([]byte(`{"metadata": {"name": "main"}, "spec": ` + sound + `}`))
 	}))
 	defer s.Close()
-	const problems = `next.json:2:113: error: routes[0].service: service "draft" is not known
-next.json:2:151: error: routes[0].slo_ms: the objective of 400ms is longer than the timeout of 300ms, so no late response is seen as late
-`
+	problems := read("problems.txt")
 	const changes = `route "draft": targets drafts (1) to draft (1); requests go to other endpoints
 route "draft": timeout 9s to 300ms; longer requests get 504
 `
