--- a/gateway/places.go
+++ b/gateway/places.go
@@ -706,4 +706,3 @@
 
 // AskDecided implements pool.PlaceObserver.
 func (o placeObserver) AskDecided() { signal(o.k.wake) }
-
