--- a/core/pool/assign.go
+++ b/core/pool/assign.go
@@ -353,7 +353,7 @@
 	s := State{Waiting: len(p.queue), Peers: len(p.peers)}
 	for _, e := range p.orderedEndpoints {
 		if e.available(now) {
-			s.Free += max(e.freeSlots(), 0)
+			s.Free += max(e.Slots-e.totalRunning(), 0)
 			s.Slots += e.Slots
 		}
 	}
