--- a/review/kit2/client.go
+++ b/review/kit2/client.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"monsoondale/platform/fake"
 )
 
 // sent is one request of a client.
@@ -44,33 +46,30 @@
 }
 
 // send sends one request and records what became of it.
-func (c *client) send(method, path, key, tokens string, deadline time.Duration) sent {
+func (c *client) send(method, path, key string, deadline time.Duration) sent {
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader(strings.Repeat("plate ", 100))
 	}
-	return c.do(method, path, key, tokens, body, deadline)
+	return c.do(method, path, key, body, deadline)
 }
 
 // sendBody sends a request with a body, and with a header of 2 KB, as browsers do that have cookies.
 func (c *client) sendBody(path, key, body string, deadline time.Duration) sent {
-	return c.do(http.MethodPost, path, key, "", strings.NewReader(body), deadline, "Cookie", "session="+strings.Repeat("0123456789abcdef", 128))
+	return c.do(http.MethodPost, path, key, strings.NewReader(body), deadline, "Cookie", "session="+strings.Repeat("0123456789abcdef", 128))
 }
 
 // do sends a request with further header fields, which are given as names and values.
-func (c *client) do(method, path, key, tokens string, body io.Reader, deadline time.Duration, fields ...string) sent {
+func (c *client) do(method, path, key string, body io.Reader, deadline time.Duration, fields ...string) sent {
 	s := sent{id: nextID(), at: time.Now()}
 	r, err := http.NewRequest(method, "http://"+c.address()+path, body)
 	if err != nil {
 		panic(err) // the case passed an invalid address or path
 	}
-	r.Host = host
+	r.Host = fake.Host
 	r.Header.Set("Request-Id", s.id)
 	r.Header.Set("Authorization", "Token "+key)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	if tokens != "" {
-		r.Header.Set("Token-Counts", tokens)
-	}
 	for i := 0; i < len(fields); i += 2 {
 		r.Header.Set(fields[i], fields[i+1])
 	}
--- a/review/kit2/drain.go
+++ b/review/kit2/drain.go
@@ -79,7 +79,7 @@
 			t := time.NewTicker(interval)
 			defer t.Stop()
 			for {
-				cl.send(http.MethodPost, "/engrave-order/1", "key", "", 3*time.Second)
+				cl.send(http.MethodPost, "/engrave-order/1", "key", 3*time.Second)
 				select {
 				case <-t.C:
 				case <-stop:
--- a/review/kit2/memory.go
+++ b/review/kit2/memory.go
@@ -102,7 +102,7 @@
 	}
 	end := begin.Add(length)
 	body := strings.Repeat("plate ", bodyBytes/6)
-	order := func(cl *client) { cl.send(http.MethodPost, "/engrave-order/1", "key", "", 3*time.Second) }
+	order := func(cl *client) { cl.send(http.MethodPost, "/engrave-order/1", "key", 3*time.Second) }
 	upload := func(cl *client) { cl.sendBody("/order-status/1", "key", body, 3*time.Second) }
 	c.note("before the clients come: %.1f MB of %d", g.memory(), limit)
 	play(kept, 12*time.Second, end, order)
--- a/review/kit2/run.go
+++ b/review/kit2/run.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"monsoondale/platform"
 )
 
 // memoryMB is memory_mb of the small deployment.
@@ -217,7 +219,7 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command(program, "gateway")
-	p.cmd.Env = []string{"MONSOONDALE_BOOT=" + p.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	p.cmd.Env = []string{platform.SettingsEnv + "=" + p.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return err
--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -1,15 +1,19 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"monsoondale/core"
+	"monsoondale/io/proxy"
+	"monsoondale/platform"
+	"monsoondale/platform/fake"
+	"monsoondale/platform/wire"
 )
 
 // arrival is a request that has reached a server.
@@ -20,14 +24,13 @@
 	ran    bool
 }
 
-// backend is a server of a plain service. It runs requests in slots and queues a few more.
+// backend is a server of a plain service. It runs requests in slots and queues the others.
 type backend struct {
 	id, service string
 	http        *httptest.Server
 	slots       int
 	work        time.Duration
 	busy        chan struct{}
-	waiting     atomic.Int64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -36,7 +39,6 @@
 
 const (
 	serverSlots = 6
-	serverQueue = 24
 	serverWork  = 60 * time.Millisecond
 )
 
@@ -63,11 +65,52 @@
 }
 
 // entry returns what the server writes of itself to the store.
-func (b *backend) entry(born int) map[string]any {
-	return map[string]any{
-		"service": b.service, "addr": b.address(), "zone": "fi-south-a", "version": "v1", "slots": b.slots, "state": "ready",
-		"cold_left_ms": 0, "seq": 1, "born": born,
+func (b *backend) entry(born int) wire.Server {
+	address, zone, version, state, seq, cold := b.address(), "fi-south-a", "v1", "ready", 1, 0.0
+	return wire.Server{Service: &b.service, Addr: &address, Zone: &zone, Version: &version, Slots: &b.slots, State: &state, ColdLeftMs: &cold, Seq: &seq, Born: &born}
+}
+
+// signatureHeader returns the name of the header with the signature of a server, as the project's stand-in sends it.
+var signatureHeader = sync.OnceValue(func() string {
+	e := fake.NewEndpoint("probe", nil)
+	defer e.Close()
+	r := fake.NewRequest(e.Address(), "/again/", "probe", time.Second)
+	for name := range expectation("probe") {
+		r.Header.Set(name, "probe")
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		panic(err) // the stand-in listens on a loopback address
+	}
+	defer resp.Body.Close()
+	for name, values := range resp.Header {
+		if strings.HasPrefix(values[0], "seal-of-") {
+			return name
+		}
+	}
+	panic("the stand-in has not signed its response")
+})
+
+// expectation returns the header with which a machine names the server that it expects.
+func expectation(id string) http.Header {
+	h, out := http.Header{}, http.Header{}
+	platform.HeaderCodec{}.SetForwardHeaders(h, proxy.ForwardInfo{Endpoint: core.EndpointID(id)})
+	for name, values := range h {
+		if values[0] == id {
+			out.Set(name, id)
+		}
+	}
+	return out
+}
+
+// expected reports whether a request may be meant for a server.
+func expected(h http.Header, id string) bool {
+	for name := range expectation(id) {
+		if v := h.Get(name); v != "" && v != id {
+			return false
+		}
 	}
+	return true
 }
 
 // ServeHTTP serves one request.
@@ -80,35 +123,19 @@
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Keep-Alive", "timeout=5")
-	notRun := func(status int) {
-		b.record(arrival{id: id, server: b.id, at: at})
-		h.Set("Not-Run", "1")
-		w.WriteHeader(status)
-	}
-	running, waiting := len(b.busy), b.waiting.Load()
-	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", running, waiting, b.slots))
 	switch {
 	case r.URL.Path == "/health":
 		h.Set("Instance-Id", b.id)
 		w.WriteHeader(http.StatusOK)
 		return
-	case id == "":
-		notRun(http.StatusBadRequest)
-		return
-	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != b.id:
+	case !expected(r.Header, b.id):
 		h.Set("Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case waiting >= serverQueue:
-		notRun(http.StatusServiceUnavailable)
-		return
 	}
-	b.waiting.Add(1)
 	select {
 	case b.busy <- struct{}{}:
-		b.waiting.Add(-1)
 	case <-r.Context().Done():
-		b.waiting.Add(-1)
 		return
 	}
 	defer func() { <-b.busy }()
@@ -119,7 +146,7 @@
 		return
 	}
 	text := "answer to " + id + " with " + strconv.Itoa(len(body)) + " bytes"
-	h.Set("Response-Seal", "seal."+b.id+"."+id)
+	h.Set(signatureHeader(), "seal."+b.id+"."+id)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(http.StatusOK)
 	io.WriteString(w, text) // the sender may have left
--- a/review/kit2/stale.go
+++ b/review/kit2/stale.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"monsoondale/platform/fake"
 )
 
 // stale cuts the machine off from the store while the operator changes the configuration several times, and judges which configuration
@@ -16,7 +18,7 @@
 		gap         = 330 * time.Millisecond  // config_storm of the site: gap_s 0.33, for_s 4.85
 		changes     = 14
 		configTime  = 2 * time.Second // config_ms
-		fillers     = 2600            // routes that bring the configuration to 0.75 MB, of at most value_bytes (1 MiB)
+		fillers     = 2200            // routes that bring the configuration to 0.75 MB, of at most value_bytes (1 MiB)
 		clients     = 10
 		interval    = 100 * time.Millisecond
 		watchedTime = 24 * time.Second // after the cut
@@ -31,11 +33,11 @@
 		}
 		routes := m["routes"].([]any)
 		for i := range fillers {
-			routes = append(routes, map[string]any{
-				"name": fmt.Sprintf("undertaker-%04d-name-check-of-the-desk", i), "host": fmt.Sprintf("undertaker-%04d.example", i),
-				"path_prefix": fmt.Sprintf("/desk-of-undertaker-%04d/inscriptions/", i), "kind": "idempotent", "timeout_ms": 2500, "slo_ms": 250,
-				"priority": 2, "service": "orders-old", "max_attempts": 2, "sticky": false, "public": false, "resumable": false,
-			})
+			name := fmt.Sprintf("undertaker-%04d-spelling-checks-of-names-and-dates-of-the-desk", i)
+			routes = append(routes, fake.Route(name, "idempotent", map[string]any{
+				"host": fmt.Sprintf("undertaker-%04d.example", i), "timeout_ms": 2500, "service": "orders-old",
+				"sticky": false, "public": false, "resumable": false,
+			}))
 		}
 		m["routes"] = routes
 		return m
@@ -77,7 +79,7 @@
 			t := time.NewTicker(interval)
 			defer t.Stop()
 			for {
-				cl.send(http.MethodGet, "/order-status/1", "key", "", 3*time.Second)
+				cl.send(http.MethodGet, "/order-status/1", "key", 3*time.Second)
 				select {
 				case <-t.C:
 				case <-stop:
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -11,6 +11,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"monsoondale/platform/fake"
+	"monsoondale/platform/wire"
 )
 
 // platformStore is the platform's store, as far as PROTOCOL.md tells of it and the cases need it.
@@ -46,8 +49,8 @@
 	kind      string
 	rev       int
 	at        time.Time
-	Object    object `json:"object"`
-	Tombstone bool   `json:"tombstone"`
+	object    object
+	tombstone bool
 }
 
 // answerTime is how long a call takes (SYSTEM.md: 4 ms an answer).
@@ -107,7 +110,7 @@
 		s.objects[kind] = map[string]*object{}
 	}
 	s.objects[kind][o.Metadata.Name] = o
-	s.events = append(s.events, change{kind: kind, rev: s.rev, at: time.Now(), Object: *o})
+	s.events = append(s.events, change{kind: kind, rev: s.rev, at: time.Now(), object: *o})
 	s.wake()
 }
 
@@ -120,7 +123,7 @@
 	s.rev++
 	gone := *o
 	gone.Metadata.Rev = s.rev
-	s.events = append(s.events, change{kind: kind, rev: s.rev, at: time.Now(), Object: gone, Tombstone: true})
+	s.events = append(s.events, change{kind: kind, rev: s.rev, at: time.Now(), object: gone, tombstone: true})
 	s.wake()
 }
 
@@ -177,14 +180,14 @@
 	}
 	switch {
 	case r.Method == http.MethodGet && name == "":
-		items := []object{}
+		items := []json.RawMessage{}
 		after := r.URL.Query().Get("after")
 		for _, n := range slices.Sorted(maps.Keys(s.objects[kind])) {
 			if n > after {
-				items = append(items, *s.objects[kind][n])
+				items = append(items, encode(*s.objects[kind][n]))
 			}
 		}
-		return http.StatusOK, map[string]any{"items": items, "has_more": false, "store_revision": s.rev}
+		return http.StatusOK, wire.List{Items: items, StoreRevision: s.rev}
 	case r.Method == http.MethodPost && current != nil:
 		return http.StatusConflict, current
 	case r.Method == http.MethodPost:
@@ -229,10 +232,11 @@
 			s.dropped = s.events[0].rev
 			s.events = s.events[1:]
 		}
-		events, changed, silent, rev, gone := []change{}, s.changed, s.silent, s.rev, since < s.dropped
+		events, changed, silent, rev, gone := []wire.Event{}, s.changed, s.silent, s.rev, since < s.dropped
 		for _, e := range s.events {
 			if e.kind == kind && e.rev > since {
-				events = append(events, e)
+				text := encode(e.object)
+				events = append(events, wire.Event{Object: &text, Tombstone: e.tombstone})
 			}
 		}
 		s.mu.Unlock()
@@ -244,7 +248,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || ended:
-			send(w, http.StatusOK, map[string]any{"events": events, "store_revision": rev})
+			send(w, http.StatusOK, wire.Events{Events: events, StoreRevision: rev})
 			return
 		}
 		select {
@@ -257,30 +261,27 @@
 	}
 }
 
-// configuration returns a configuration of one service with a route of each kind, as the operator writes it.
-func configuration(version int, service string, tenants []any) map[string]any {
-	route := func(name, kind string, extra map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000, "slo_ms": 300,
-			"priority": 2, "service": service, "max_attempts": 2,
-		}
-		maps.Copy(r, extra)
-		return r
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("engrave-order", "non_idempotent", map[string]any{"max_attempts": 1}),
-			route("order-status", "idempotent", nil),
-		},
-		"services": []any{map[string]any{"name": service, "max_conns": 96, "health_path": "/health"}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  tenants,
+// encode returns an object as the store sends it.
+func encode(o object) json.RawMessage {
+	b, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // its parts have been decoded
 	}
+	return b
 }
 
-// host is the host of all routes.
-const host = "desk.example"
+// configuration returns a configuration of one service with a route for orders and one for look-ups, as the operator writes it.
+func configuration(version int, service string, tenants []any) map[string]any {
+	route := func(name, kind string) any {
+		return fake.Route(name, kind, map[string]any{"timeout_ms": 3000, "priority": 2, "service": service})
+	}
+	return fake.Configuration(version, func(c map[string]any) {
+		c["routes"] = []any{route("engrave-order", "non_idempotent"), route("order-status", "idempotent")}
+		c["services"] = []any{map[string]any{"name": service, "max_conns": 96, "health_path": "/health"}}
+		c["limits"] = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+		c["tenants"] = tenants
+	})
+}
 
 // tenant returns an entry of the configuration.
 func tenant(name, key string, rate, burst float64) map[string]any {
