--- a/review/kit2/drain.go
+++ b/review/kit2/drain.go
@@ -24,7 +24,7 @@
 	const (
 		servers     = 16 // of which two are 0.125; scale_in of the site has share 0.13
 		rounds      = 8
-		roundLength = 12 * time.Second
+		roundLength = 12700 * time.Millisecond // no multiple of any period of the machine
 		clients     = 50
 		interval    = 100 * time.Millisecond // between two requests of a client
 		linger      = 1500 * time.Millisecond
